--- /dev/null
+++ b/node/config/config.cpp
@@ -0,0 +1,129 @@
+#include "config/config.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cstdlib>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+#include "settings.h"
+
+namespace keelflow {
+namespace {
+
+using nlohmann::json;
+
+std::string plain(const json& value) {
+  if (!value.is_string()) return value.dump();
+  std::string text = value.get<std::string>();
+  std::replace_if(text.begin(), text.end(), [](char c) { return c == ' ' || c == ',' || c == '\n'; }, '_');
+  return text;
+}
+
+void flatten(const json& value, const std::string& path, std::string& out) {
+  auto below = [&](const std::string& key) { return path.empty() ? key : path + "." + key; };
+  if (value.is_object()) {
+    for (const auto& [key, item] : value.items()) flatten(item, below(key), out);
+  } else if (value.is_array()) {
+    bool objects = std::any_of(value.begin(), value.end(), [](const json& item) { return item.is_structured(); });
+    if (objects) {
+      out += path + ".count=" + std::to_string(value.size()) + "\n";
+      for (std::size_t i = 0; i < value.size(); ++i) flatten(value[i], below(std::to_string(i)), out);
+    } else {
+      out += path + "=";
+      for (std::size_t i = 0; i < value.size(); ++i) out += (i ? "," : "") + plain(value[i]);
+      out += "\n";
+    }
+  } else if (!value.is_null()) {
+    out += path + "=" + plain(value) + "\n";
+  }
+}
+
+std::vector<std::string> words(const json& list) {
+  std::vector<std::string> out;
+  for (const auto& item : list) out.push_back(item.is_object() ? item.at("name").get<std::string>() : item.get<std::string>());
+  return out;
+}
+
+net::Address address(const json& from, const char* key) {
+  auto text = from.at(key).get<std::string>();
+  if (auto parsed = net::parse_address(text)) return *parsed;
+  throw ConfigError(std::string("config: '") + key + "' is no address: '" + text + "'");
+}
+
+std::string slurp(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) throw ConfigError("config: cannot read '" + path + "'");
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+}  // namespace
+
+std::string flatten_settings(const std::string& text) {
+  std::string out;
+  flatten(json::parse(text), "", out);
+  return out;
+}
+
+Config decode_config(const std::string& text) {
+  try {
+    json root = json::parse(text);
+    Config c;
+    c.name = root.value("name", "node");
+    c.listen = address(root, "listen");
+    c.discovery = address(root, "discovery");
+    std::string seed = root.value("seed", "0");
+    auto [end, error] = std::from_chars(seed.data(), seed.data() + seed.size(), c.seed, 16);
+    if (error != std::errc() || end != seed.data() + seed.size())
+      throw ConfigError("config: 'seed' is not hexadecimal: '" + seed + "'");
+    c.sockets = root.value("limits", json::object()).value("sockets", std::size_t{1024});
+    const json& settings = root.at("settings");
+    std::string profile;
+    flatten(settings, "", profile);
+    c.settings = reedlb::wire::read_settings(profile);
+    c.names.classes = words(settings.at("classes"));
+    if (settings.contains("tenants")) c.names.tenants = words(settings.at("tenants"));
+    c.names.zones = words(settings.at("dcs"));
+    c.names.kinds = words(settings.at("kinds"));
+    if (settings.contains("report") && settings.at("report").contains("names"))
+      c.report_names = words(settings.at("report").at("names"));
+    const json limits = settings.value("limits", json::object());
+    c.connect_timeout = from_ms(limits.value("connect_timeout_ms", 200.0));
+    c.idle_limit = from_ms(limits.value("conn_idle_ms", 5000.0));
+    c.most_held = limits.value("most_held", std::size_t{20000});
+    c.tick = from_ms(c.settings.tick_ms);
+    if (root.contains("known") && root.at("known").is_object()) c.known = decode_list(root.at("known"), c.names);
+    return c;
+  } catch (const json::exception& fault) {
+    throw ConfigError(std::string("config: ") + fault.what());
+  }
+}
+
+Config read_config(const std::string& path) { return decode_config(slurp(path)); }
+
+ProgressConfig read_progress_config(const std::string& path) {
+  // A small part of TOML is enough here: key = "text" or key = number, one a line, and comments.
+  ProgressConfig out;
+  std::ifstream file(path);
+  for (std::string line; std::getline(file, line);) {
+    auto equals = line.find('=');
+    auto word = line.find_first_not_of(" \t");
+    if (equals == std::string::npos || word == std::string::npos || line[word] == '#') continue;
+    std::string key = line.substr(word, line.find_first_of(" \t=", word) - word);
+    std::string value = line.substr(equals + 1);
+    auto open = value.find('"');
+    if (open != std::string::npos) value = value.substr(open + 1, value.find('"', open + 1) - open - 1);
+    if (key == "listen") out.listen = value;
+    else if (key == "hook") out.hook = value;
+    else if (key == "store") out.store = value;
+    else if (key == "heartbeat_s") out.heartbeat = from_ms(1000 * std::strtod(value.c_str(), nullptr));
+    else if (key == "expiry_s") out.expiry = from_ms(1000 * std::strtod(value.c_str(), nullptr));
+    else throw ConfigError("'" + path + "': unknown key '" + key + "'");
+  }
+  return out;
+}
+
+}  // namespace keelflow
--- /dev/null
+++ b/node/config/config.h
@@ -0,0 +1,47 @@
+// What the platform tells a node, decoded once at the start.
+#pragma once
+
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "core/time.h"
+#include "discovery/host_list.h"
+#include "net/address.h"
+#include "reedlb/dispatcher.h"
+
+namespace keelflow {
+
+struct ConfigError : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+struct Config {
+  std::string name;
+  net::Address listen, discovery;
+  std::uint64_t seed = 0;
+  std::size_t sockets = 1024;
+  reedlb::Settings settings;
+  Names names;
+  std::vector<std::string> report_names;
+  Duration connect_timeout{}, idle_limit{}, tick{};
+  std::size_t most_held = 20000;
+  HostList known;
+};
+
+// Reads the file that EDGE_CONFIG names. Throws ConfigError naming the fault.
+Config read_config(const std::string& path);
+Config decode_config(const std::string& text);
+
+// The nested settings in the path=value form of the simulator's first message, which the adapter's decoder reads.
+std::string flatten_settings(const std::string& json);
+
+// Where the progress front listens, from deploy/progress.toml; empty where the file or the address is missing.
+struct ProgressConfig {
+  std::string listen, hook, store;
+  Duration heartbeat = std::chrono::seconds(10);
+  Duration expiry = std::chrono::minutes(10);
+};
+ProgressConfig read_progress_config(const std::string& path);
+
+}  // namespace keelflow
--- /dev/null
+++ b/node/core/counters.h
@@ -0,0 +1,32 @@
+// What the node takes in, sends and answers; printed on request and at exit.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace keelflow {
+
+#define KEELFLOW_COUNTERS(X)                                                                             \
+  X(requests_taken) X(requests_rejected) X(answers_served) X(answers_refused) X(answers_failed)          \
+  X(clients_gone) X(attempts_started) X(attempts_served) X(attempts_error) X(attempts_turned_away)       \
+  X(attempts_never_connected) X(attempts_reset) X(attempts_timed_out) X(attempts_cancelled)              \
+  X(news_received) X(news_unmatched) X(probes_sent) X(connections_accepted) X(connections_opened)        \
+  X(connections_failed) X(accept_paused) X(lists_received) X(watches_opened) X(watches_broken)           \
+  X(streams_opened) X(events_sent) X(events_dropped) X(slow_readers_closed) X(hook_faults)               \
+  X(hook_dropped) X(store_writes) X(store_faults) X(store_skipped) X(replays)
+
+struct Counters {
+#define X(name) std::uint64_t name = 0;
+  KEELFLOW_COUNTERS(X)
+#undef X
+
+  std::string text() const {
+    std::string out;
+#define X(name) out += "keelflow_" #name " " + std::to_string(name) + "\n";
+    KEELFLOW_COUNTERS(X)
+#undef X
+    return out;
+  }
+};
+
+}  // namespace keelflow
--- /dev/null
+++ b/node/core/engine.cpp
@@ -0,0 +1,255 @@
+#include "core/engine.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace keelflow {
+
+using reedlb::Result;
+
+namespace {
+
+// Whether an attempt that broke may have run depends on one thing: had its last byte been written?
+Result result_of(const AttemptEnd& end) {
+  switch (end.ending) {
+    case Ending::served:
+      return Result::ok;
+    case Ending::error:
+      return Result::error;
+    case Ending::turned_away:
+      return Result::full;
+    case Ending::cancelled:
+      return Result::cancelled;
+    case Ending::broken:
+      break;
+  }
+  return end.reach < Reach::fully_written ? Result::connect_failed : Result::reset;
+}
+
+}  // namespace
+
+Engine::Engine(const reedlb::Settings& settings, std::uint64_t seed, Limits limits, TimerPort& timers,
+               const UnixClock& clock, Counters& counters)
+    : dispatcher_(settings, seed), limits_(limits), timers_(timers), clock_(clock), counters_(counters) {}
+
+void Engine::connect(EndpointPort& endpoints, DestinationPort& destinations) {
+  endpoints_ = &endpoints;
+  destinations_ = &destinations;
+}
+
+// Events are played one after another, each at its own time. An action may cause the next event before it
+// returns (a connection refused at once); that event waits here until the present one is dealt with.
+void Engine::post(reedlb::Event event) {
+  inbox_.push_back(std::move(event));
+  if (std::exchange(pumping_, true)) return;
+  reedlb::Actions actions;
+  while (!inbox_.empty()) {
+    reedlb::Event next = std::move(inbox_.front());
+    inbox_.pop_front();
+    actions.clear();
+    dispatcher_.handle(clock_.unix_ms(timers_.now()), next, actions);
+    for (const reedlb::Action& action : actions) carry_out(action);
+    if (const auto* outcome = std::get_if<reedlb::Outcome>(&next)) forget_if_over(outcome->request);
+    if (const auto* gone = std::get_if<reedlb::ClientGone>(&next)) forget_if_over(gone->request);
+  }
+  pumping_ = false;
+}
+
+void Engine::carry_out(const reedlb::Action& action) {
+  if (const auto* a = std::get_if<reedlb::Send>(&action)) return send(*a);
+  if (const auto* a = std::get_if<reedlb::Recall>(&action)) return recall({a->request, a->attempt}, false);
+  if (const auto* a = std::get_if<reedlb::Probe>(&action)) {
+    ++counters_.probes_sent;
+    return endpoints_->probe(a->worker);
+  }
+  if (std::holds_alternative<reedlb::Subscribe>(action)) return destinations_->subscribe();
+  if (const auto* a = std::get_if<reedlb::Refuse>(&action)) {
+    FinalAnswer answer{.kind = FinalAnswer::Kind::refused, .retry_after = from_ms(a->retry_after_ms)};
+    return finish(a->request, std::move(answer));
+  }
+  if (const auto* a = std::get_if<reedlb::Fail>(&action)) {
+    auto it = requests_.find(a->request);
+    bool late = it != requests_.end() &&
+                (it->second.expired || timers_.now() + 2 * limits_.tick >= it->second.deadline);
+    return finish(a->request, {.kind = FinalAnswer::Kind::failed, .timed_out = late});
+  }
+  if (const auto* a = std::get_if<reedlb::SetTimer>(&action)) {
+    // Events come no more often than once a tick, so a timer rings on the next multiple of it.
+    TimePoint when = std::max(clock_.at(a->when), timers_.now());
+    if (limits_.tick > Duration::zero()) {
+      Duration past = when.time_since_epoch() % limits_.tick;
+      if (past > Duration::zero()) when += limits_.tick - past;
+    }
+    timers_.at(when, [this, name = a->name] { post(reedlb::Timer{name}); });
+  }
+}
+
+std::optional<RequestId> Engine::take(Job job, Asker& asker) {
+  if (by_name_.contains(job.id)) return std::nullopt;
+  RequestId id = next_id_++;
+  if (by_name_.size() >= limits_.most_held) {  // the platform's own cap; the module never sees these
+    ++counters_.answers_refused;
+    asker.on_final({.kind = FinalAnswer::Kind::refused, .retry_after = std::chrono::seconds(1)});
+    return id;
+  }
+  ++counters_.requests_taken;
+  reedlb::Arrival arrival;
+  arrival.request = id;
+  arrival.cls = job.cls;
+  arrival.tenant = job.tenant;
+  arrival.key = job.key;
+  arrival.ttl_ms = to_ms(job.patience);
+  arrival.hint = Milliseconds(job.hint).count();
+  arrival.slots = job.slots;
+  arrival.memory = job.memory;
+  arrival.repeat = job.repeat;
+  by_name_.emplace(job.id, id);
+  Request& request = requests_[id];
+  request.deadline = timers_.now() + job.patience;
+  request.asker = &asker;
+  request.job = std::move(job);
+  post(arrival);
+  return id;
+}
+
+void Engine::client_gone(RequestId id) {
+  auto it = requests_.find(id);
+  if (it == requests_.end() || !it->second.asker) return;
+  ++counters_.clients_gone;
+  answered(it->second);
+  post(reedlb::ClientGone{id});
+}
+
+void Engine::send(const reedlb::Send& send) {
+  auto it = requests_.find(send.request);
+  if (it == requests_.end()) return;
+  Request& request = it->second;
+  AttemptRef ref{send.request, static_cast<int>(request.attempts.size())};
+  TimePoint now = timers_.now(), until = request.deadline;
+  if (send.timeout_ms != 0) until = std::min(until, now + from_ms(std::max(0.0, send.timeout_ms)));
+  Attempt attempt{.worker = send.worker, .sent = now};
+  attempt.timer = timers_.at(until, [this, ref] { recall(ref, true); });
+  request.attempts.push_back(attempt);
+  ++counters_.attempts_started;
+  ++attempts_out_;
+  endpoints_->start(ref, send.worker, request.job, until);
+}
+
+Engine::Attempt* Engine::out(AttemptRef ref) {
+  auto it = requests_.find(ref.request);
+  if (it == requests_.end() || ref.attempt < 0) return nullptr;
+  auto& attempts = it->second.attempts;
+  auto place = static_cast<std::size_t>(ref.attempt);
+  return place < attempts.size() && attempts[place].out ? &attempts[place] : nullptr;
+}
+
+// The attempt's outcome comes only when the outbound side has given it up, so that no other attempt of the
+// request goes out while the endpoint may still hold this one.
+void Engine::recall(AttemptRef ref, bool timed_out) {
+  Attempt* attempt = out(ref);
+  if (!attempt) return;
+  attempt->timed_out |= timed_out;
+  if (std::exchange(attempt->giving_up, true)) return;
+  endpoints_->give_up(ref);
+}
+
+void Engine::attempt_started(AttemptRef ref) {
+  Attempt* attempt = out(ref);
+  if (!attempt || std::exchange(attempt->started, true)) return;
+  if (Asker* asker = requests_.at(ref.request).asker)
+    asker->on_progress({.kind = Progress::Kind::started, .attempt = ref.attempt});
+  post(reedlb::Started{ref.request, ref.attempt});
+}
+
+void Engine::attempt_progress(AttemptRef ref, double share) {
+  if (!out(ref)) return;
+  if (Asker* asker = requests_.at(ref.request).asker)
+    asker->on_progress({.kind = Progress::Kind::running, .share = share, .attempt = ref.attempt});
+}
+
+void Engine::attempt_ended(AttemptRef ref, AttemptEnd end) {
+  Attempt* attempt = out(ref);
+  if (!attempt) return;
+  attempt->out = false;
+  --attempts_out_;
+  timers_.cancel(attempt->timer);
+  Request& request = requests_.at(ref.request);
+  reedlb::Outcome outcome;
+  outcome.request = ref.request;
+  outcome.attempt = ref.attempt;
+  outcome.result = result_of(end);
+  if (outcome.result == Result::cancelled && attempt->timed_out) outcome.result = Result::timeout;
+  outcome.elapsed_ms = to_ms(timers_.now() - attempt->sent);
+  outcome.report = end.report;
+  switch (outcome.result) {
+    case Result::ok:
+      ++counters_.attempts_served;
+      break;
+    case Result::error:
+      ++counters_.attempts_error;
+      break;
+    case Result::full:
+      ++counters_.attempts_turned_away;
+      break;
+    case Result::connect_failed:
+      ++counters_.attempts_never_connected;
+      break;
+    case Result::reset:
+      ++counters_.attempts_reset;
+      break;
+    case Result::timeout:
+      request.expired = true;
+      ++counters_.attempts_timed_out;
+      break;
+    default:
+      ++counters_.attempts_cancelled;
+  }
+  bool served = outcome.result == Result::ok;
+  outcome.final = served || !request.asker;
+  if (served)  // the first result concludes the request by itself; `request` may be gone after this
+    finish(ref.request, {.kind = FinalAnswer::Kind::served, .result = std::move(end.result)});
+  post(outcome);
+}
+
+void Engine::probed(WorkerId worker, bool ok, Duration elapsed, const reedlb::LoadReport& report) {
+  post(reedlb::ProbeResult{worker, ok, to_ms(elapsed), report});
+}
+
+void Engine::destinations(reedlb::WorkerList list) {
+  ++counters_.lists_received;
+  post(std::move(list));
+}
+
+void Engine::finish(RequestId id, FinalAnswer answer) {
+  auto it = requests_.find(id);
+  if (it == requests_.end() || !it->second.asker) return;
+  switch (answer.kind) {
+    case FinalAnswer::Kind::served:
+      ++counters_.answers_served;
+      break;
+    case FinalAnswer::Kind::refused:
+      ++counters_.answers_refused;
+      break;
+    case FinalAnswer::Kind::failed:
+      ++counters_.answers_failed;
+  }
+  Asker* asker = it->second.asker;
+  answered(it->second);
+  asker->on_final(std::move(answer));
+  forget_if_over(id);
+}
+
+void Engine::answered(Request& request) {
+  request.asker = nullptr;
+  by_name_.erase(request.job.id);
+}
+
+void Engine::forget_if_over(RequestId id) {
+  auto it = requests_.find(id);
+  if (it == requests_.end() || it->second.asker) return;
+  for (const Attempt& attempt : it->second.attempts)
+    if (attempt.out) return;
+  requests_.erase(it);
+}
+
+}  // namespace keelflow
--- /dev/null
+++ b/node/core/ports.h
@@ -0,0 +1,101 @@
+// What the Engine needs from the outside, and the values that cross that border. Nothing here names a wire.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "core/time.h"
+#include "reedlb/dispatcher.h"
+
+namespace keelflow {
+
+using reedlb::RequestId;
+using reedlb::WorkerId;
+
+struct Payload;  // what the outbound side sends on unchanged; opaque to the core
+
+// One request as the core sees it.
+struct Job {
+  std::string id;  // the client's own name for it
+  int cls = 0, tenant = 0;
+  std::uint64_t key = 0;
+  Duration patience{};  // until the client gives up
+  std::chrono::microseconds hint{};  // expected running time; zero: none given
+  double slots = 1, memory = 0;
+  bool repeat = false;
+  bool wants_progress = false;
+  std::shared_ptr<const Payload> payload;
+};
+
+struct AttemptRef {
+  RequestId request = 0;
+  int attempt = 0;
+  bool operator==(const AttemptRef&) const = default;
+};
+
+// How far an attempt had come when it ended. Up to `partly_written` the endpoint cannot have run it.
+enum class Reach : std::uint8_t { never_written, partly_written, fully_written, accepted };
+
+enum class Ending : std::uint8_t {
+  served,
+  error,        // the endpoint says that it failed
+  turned_away,  // the endpoint says that it never ran
+  broken,       // the connection or the process went; `reach` tells whether it may have run
+  cancelled,    // given up on the Engine's word
+};
+
+struct AttemptEnd {
+  Ending ending = Ending::broken;
+  Reach reach = Reach::never_written;
+  std::string result = {};  // of `served`
+  reedlb::LoadReport report = {};
+};
+
+struct Progress {
+  enum class Kind : std::uint8_t { started, running } kind = Kind::started;
+  double share = 0;
+  int attempt = 0;
+};
+
+struct FinalAnswer {
+  enum class Kind : std::uint8_t { served, refused, failed } kind = Kind::failed;
+  std::string result = {};       // of `served`
+  Duration retry_after = {};     // of `refused`; zero: no guidance
+  bool timed_out = false;        // of `failed`
+};
+
+// The client's side of one request. `on_final` comes exactly once, unless the client has gone before.
+class Asker {
+ public:
+  virtual ~Asker() = default;
+  virtual void on_progress(const Progress&) {}
+  virtual void on_final(FinalAnswer answer) = 0;
+};
+
+// The endpoints' side. Every attempt started ends with one Engine::attempt_ended.
+class EndpointPort {
+ public:
+  virtual ~EndpointPort() = default;
+  virtual void start(AttemptRef ref, WorkerId worker, const Job& job, TimePoint until) = 0;
+  virtual void give_up(AttemptRef ref) = 0;
+  virtual void probe(WorkerId worker) = 0;
+};
+
+class DestinationPort {
+ public:
+  virtual ~DestinationPort() = default;
+  virtual void subscribe() = 0;
+};
+
+using TimerId = std::uint64_t;
+class TimerPort {
+ public:
+  virtual ~TimerPort() = default;
+  virtual TimePoint now() const = 0;
+  virtual TimerId at(TimePoint when, std::function<void()> task) = 0;
+  virtual void cancel(TimerId id) = 0;
+};
+
+}  // namespace keelflow
--- /dev/null
+++ b/node/discovery/destination_set.h
@@ -0,0 +1,64 @@
+// Discovery's list as this node has it, kept up to date by a watch.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "core/counters.h"
+#include "core/ports.h"
+#include "discovery/host_list.h"
+#include "outbound/client_connection.h"
+
+namespace keelflow {
+
+struct Destination {
+  std::string host;
+  net::Address dial;
+};
+
+class DestinationSet final : public DestinationPort, ClientConnection::User {
+ public:
+  using Listener = std::function<void(reedlb::WorkerList)>;
+
+  DestinationSet(net::EventLoop& loop, net::Address discovery, Names names, Listener listener, Counters& counters);
+  ~DestinationSet() override;
+
+  void known(const HostList& list);  // what this node had last; told as cached
+  // Opens a watch, or opens it anew where it broke. When to ask again after a failure is the module's choice;
+  // this side only keeps a floor under it, so that a discovery that is down is not hammered.
+  void subscribe() override;
+  void stop();
+
+  // An endpoint stays known for the node's life: jobs it has are still cancelled there when it left the list.
+  const Destination* find(WorkerId worker) const;
+
+ private:
+  void on_connected() override;
+  void on_head(const net::Head& head) override;
+  void on_body(std::string_view bytes) override;
+  void on_complete(bool) override { broken(); }
+  void on_broken() override { broken(); }
+
+  void open();
+  void expect(Duration within);
+  void line(std::string_view text);
+  void take(const HostList& list, reedlb::ListScope scope);
+  void broken();
+
+  net::EventLoop& loop_;
+  net::Address discovery_;
+  Names names_;
+  Listener listener_;
+  Counters& counters_;
+  std::unordered_map<WorkerId, Destination> destinations_;
+  std::unique_ptr<ClientConnection> connection_;
+  std::uint64_t version_ = 0;
+  bool has_list_ = false, accepted_ = false;
+  std::string buffer_;
+  TimerId silence_ = 0, retry_ = 0;
+  Duration back_off_{};
+};
+
+}  // namespace keelflow
--- /dev/null
+++ b/node/discovery/host_list.h
@@ -0,0 +1,38 @@
+// Discovery's list of endpoints, decoded.
+#pragma once
+
+#include <cstdint>
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "net/address.h"
+#include "reedlb/dispatcher.h"
+
+namespace keelflow {
+
+struct Names {  // positions in these lists are the numbers that the module knows
+  std::vector<std::string> classes, tenants, zones, kinds;
+  static int place(const std::vector<std::string>& list, std::string_view name);  // -1: unknown
+};
+
+struct Host {
+  std::string name;
+  net::Address dial;
+  reedlb::WorkerEntry entry;
+};
+
+struct HostList {
+  std::uint64_t version = 0;
+  bool whole = false;
+  std::vector<Host> hosts;
+};
+
+// Throws nlohmann::json::exception or std::runtime_error on what is no list.
+HostList decode_list(const nlohmann::json& list, const Names& names);
+
+// The module wants numbers, and the same ones at every node: they are a hash of the name.
+reedlb::WorkerId worker_id(std::string_view host);
+
+}  // namespace keelflow
--- /dev/null
+++ b/node/inbound/platform_front.h
@@ -0,0 +1,47 @@
+// The platform's protocol: jobs from clients, call-backs from endpoints, readiness, counters.
+#pragma once
+
+#include <optional>
+#include <variant>
+
+#include "config/config.h"
+#include "core/engine.h"
+#include "inbound/server.h"
+#include "outbound/outbound.h"
+
+namespace keelflow {
+
+// Why a request is no job.
+struct Rejection {
+  int status;
+  std::string_view text;
+};
+std::variant<Job, Rejection> decode_job(HttpRequest request, const Names& names);
+
+// A call-back's body. Nothing: it is malformed.
+std::optional<News> decode_news(std::string_view body, const std::vector<std::string>& report_names);
+
+// Status, body and headers of a final answer that is a plain one.
+void respond_final(InboundConnection& connection, const FinalAnswer& answer);
+
+class PlatformFront final : public Front {
+ public:
+  PlatformFront(net::EventLoop& loop, Engine& engine, Outbound& outbound, const Config& config, Counters& counters)
+      : loop_(loop), engine_(engine), outbound_(outbound), config_(config), counters_(counters) {}
+
+  std::unique_ptr<Exchange> on_request(InboundConnection& connection, HttpRequest request) override;
+  void on_malformed() override { ++counters_.requests_rejected; }
+  // One job, answered with a single plain answer.
+  std::unique_ptr<Exchange> take_plain(InboundConnection& connection, Job job);
+
+ private:
+  void take_news(InboundConnection& connection, const HttpRequest& request);
+
+  net::EventLoop& loop_;
+  Engine& engine_;
+  Outbound& outbound_;
+  const Config& config_;
+  Counters& counters_;
+};
+
+}  // namespace keelflow
--- /dev/null
+++ b/node/inbound/server.cpp
@@ -0,0 +1,303 @@
+#include "inbound/server.h"
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstdio>
+#include <exception>
+#include <system_error>
+#include <utility>
+
+namespace keelflow {
+namespace {
+
+using namespace std::chrono_literals;
+constexpr Duration kRequestPatience = 10s;  // from a request's first byte to its last
+constexpr Duration kIdlePatience = 75s;
+constexpr Duration kFlushPatience = 30s;  // for a client to read what it was answered
+constexpr Duration kAcceptPause = 20ms;
+constexpr std::size_t kMostWaiting = 96 * 1024;  // of a next request that comes early
+
+std::string_view reason(int status) {
+  switch (status) {
+    case 200:
+      return "OK";
+    case 400:
+      return "Bad Request";
+    case 404:
+      return "Not Found";
+    case 405:
+      return "Method Not Allowed";
+    case 408:
+      return "Request Timeout";
+    case 413:
+      return "Content Too Large";
+    case 429:
+      return "Too Many Requests";
+    case 431:
+      return "Request Header Fields Too Large";
+    case 500:
+      return "Internal Server Error";
+    case 502:
+      return "Bad Gateway";
+    case 503:
+      return "Service Unavailable";
+    case 504:
+      return "Gateway Timeout";
+    default:
+      return "Status";
+  }
+}
+
+std::string head_text(int status, const ExtraHeaders& headers) {
+  std::string out = "HTTP/1.1 " + std::to_string(status) + " ";
+  out += reason(status);
+  out += "\r\n";
+  for (const auto& [name, value] : headers) out += name + ": " + value + "\r\n";
+  return out;
+}
+
+}  // namespace
+
+InboundConnection::InboundConnection(Server& server, net::EventLoop& loop, Front& front)
+    : server_(server), loop_(loop), front_(front), connection_(loop, *this),
+      parser_(net::HttpParser::Kind::request, {}), since_(loop.now()) {
+  guard(kRequestPatience);
+}
+
+InboundConnection::~InboundConnection() { loop_.cancel(timer_); }
+
+void InboundConnection::guard(Duration patience) {
+  loop_.cancel(timer_);
+  timer_ = loop_.at(loop_.now() + patience, [this] {
+    if (!busy_ && keep_alive_ && !parser_.idle()) respond(408, "request timed out\n", {{"Connection", "close"}});
+    abandon();
+  });
+}
+
+void InboundConnection::on_data(std::string_view bytes) {
+  if (!busy_ && !keep_alive_) return;  // answered, and closing
+  waiting_ += bytes;
+  if (!busy_) parse();
+  // One request at a time: more than a whole further one is not read before the present one is answered. Nor may
+  // the reading stop earlier, since it is how a client's going is noticed.
+  if (waiting_.size() > kMostWaiting) connection_.pause_reading(true);
+}
+
+void InboundConnection::parse() {
+  if (std::exchange(parsing_, true)) return;
+  std::size_t used = 0;
+  while (used < waiting_.size() && !busy_ && keep_alive_ && !over_ && connection_.open()) {
+    bool fresh = parser_.idle();
+    used += parser_.feed(std::string_view(waiting_).substr(used), *this);
+    if (parser_.fault() != net::HttpParser::Fault::none) {
+      used = waiting_.size();
+      reject();
+    } else if (fresh && !busy_ && !parser_.idle()) {
+      guard(kRequestPatience);  // a request that has begun must get on: a slow sender holds a descriptor
+    }
+  }
+  waiting_.erase(0, used);
+  parsing_ = false;
+}
+
+void InboundConnection::on_head(const net::Head& head) {
+  request_.head = head;
+  request_.body.clear();
+  if (net::same_word(head.find("Expect"), "100-continue")) connection_.write("HTTP/1.1 100 Continue\r\n\r\n");
+}
+
+void InboundConnection::on_complete() {
+  busy_ = true;
+  loop_.cancel(timer_);
+  keep_alive_ = request_.head.keep_alive;
+  // A fault of a front must not reach the other connections.
+  try {
+    auto exchange = front_.on_request(*this, std::exchange(request_, {}));
+    if (busy_ && !over_) exchange_ = std::move(exchange);
+    else loop_.dispose(std::move(exchange));
+  } catch (const std::exception& fault) {
+    std::fprintf(stderr, "keelflow: request failed: %s\n", fault.what());
+    if (busy_ && !over_) respond(500, "internal error\n", {{"Connection", "close"}});
+  }
+}
+
+void InboundConnection::reject() {
+  front_.on_malformed();
+  keep_alive_ = false;
+  switch (parser_.fault()) {
+    case net::HttpParser::Fault::head_too_large:
+      return respond(431, "header too large\n");
+    case net::HttpParser::Fault::body_too_large:
+      return respond(413, "body too large\n");
+    default:
+      return respond(400, "malformed request\n");
+  }
+}
+
+void InboundConnection::respond(int status, std::string_view body, const ExtraHeaders& headers) {
+  if (over_) return;
+  if (server_.draining_) keep_alive_ = false;
+  for (const auto& [name, value] : headers)
+    if (name == "Connection" && value == "close") keep_alive_ = false;
+  std::string out = head_text(status, headers);
+  out += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+  if (!keep_alive_) out += "Connection: close\r\n";
+  out += "\r\n";
+  out += body;
+  connection_.write(out);
+  finished();
+}
+
+void InboundConnection::begin_stream(int status, const ExtraHeaders& headers) {
+  if (server_.draining_) keep_alive_ = false;
+  std::string out = head_text(status, headers) + "Transfer-Encoding: chunked\r\n";
+  if (!keep_alive_) out += "Connection: close\r\n";
+  connection_.write(out + "\r\n");
+}
+
+void InboundConnection::stream(std::string_view piece) {
+  if (over_ || piece.empty()) return;
+  char size[20];
+  std::snprintf(size, sizeof size, "%zx\r\n", piece.size());
+  std::string out = size;
+  out += piece;
+  out += "\r\n";
+  connection_.write(out);
+}
+
+void InboundConnection::end_stream() {
+  if (over_) return;
+  connection_.write("0\r\n\r\n");
+  finished();
+}
+
+void InboundConnection::finished() {
+  busy_ = false;
+  since_ = loop_.now();
+  loop_.dispose(std::move(exchange_));
+  if (!connection_.open()) return;
+  guard(connection_.pending() > 0 ? kFlushPatience : kIdlePatience);
+  if (!keep_alive_) {
+    guard(kFlushPatience);
+    return connection_.close_when_flushed();
+  }
+  connection_.pause_reading(false);
+  if (!waiting_.empty() && !parsing_)
+    loop_.defer([this, &loop = loop_, alive = std::weak_ptr<int>(alive_)] {
+      if (!alive.expired()) parse();
+    });
+}
+
+void InboundConnection::on_flushed() {
+  if (!busy_ && parser_.idle()) guard(kIdlePatience);
+}
+
+void InboundConnection::on_closed(int) { over(); }
+
+void InboundConnection::abandon() {
+  connection_.close();
+  over();
+}
+
+void InboundConnection::over() {
+  if (std::exchange(over_, true)) return;
+  loop_.cancel(timer_);
+  if (auto exchange = std::move(exchange_)) {
+    exchange->on_client_gone();
+    loop_.dispose(std::move(exchange));
+  }
+  server_.remove(*this);
+}
+
+Server::Server(net::EventLoop& loop, Front& front, std::size_t most_connections, Counters& counters)
+    : loop_(loop), front_(front), most_(most_connections), counters_(counters) {}
+
+Server::~Server() { close(); }
+
+void Server::listen(const net::Address& address) {
+  fd_ = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  auto must = [](bool ok, const char* what) {
+    if (!ok) throw std::system_error(errno, std::generic_category(), what);
+  };
+  must(fd_ >= 0, "socket");
+  int on = 1;
+  setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  must(::bind(fd_, reinterpret_cast<const sockaddr*>(&address.in), sizeof address.in) == 0, "bind");
+  must(::listen(fd_, 1024) == 0, "listen");
+  registration_ = loop_.watch(fd_, *this);
+  must(registration_ != 0, "epoll_ctl");
+}
+
+net::Address Server::address() const {
+  net::Address bound;
+  socklen_t size = sizeof bound.in;
+  getsockname(fd_, reinterpret_cast<sockaddr*>(&bound.in), &size);
+  return bound;
+}
+
+void Server::on_ready(std::uint32_t) { accept(); }
+
+// What the kernel has accepted is taken by the platform's rules, so nothing waits in the backlog if it can be
+// helped: idle connections make room first, and only when there are none does accepting pause.
+void Server::accept() {
+  while (fd_ >= 0) {
+    int fd = ::accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd < 0) {
+      if (errno == EAGAIN) return;
+      if (errno == EINTR || errno == ECONNABORTED) continue;
+      if (free_one() || (on_pressure && on_pressure())) continue;
+      // The edge is used up: without this timer nobody would call again (EMFILE, ENFILE, ENOMEM).
+      ++counters_.accept_paused;
+      loop_.cancel(pause_);
+      pause_ = loop_.at(loop_.now() + kAcceptPause, [this] { accept(); });
+      return;
+    }
+    if (connections_.size() >= most_ && !free_one()) {
+      ::close(fd);
+      continue;
+    }
+    ++counters_.connections_accepted;
+    auto connection = std::make_unique<InboundConnection>(*this, loop_, front_);
+    InboundConnection* raw = connection.get();
+    connections_.emplace(raw, std::move(connection));
+    if (!raw->adopt(fd)) raw->over();
+  }
+}
+
+bool Server::free_one() {
+  InboundConnection* oldest = nullptr;
+  for (auto& [raw, connection] : connections_)
+    if (raw->idle() && (!oldest || raw->since() < oldest->since())) oldest = raw;
+  if (oldest) oldest->abandon();
+  return oldest != nullptr;
+}
+
+void Server::remove(InboundConnection& connection) {
+  auto it = connections_.find(&connection);
+  if (it == connections_.end()) return;
+  loop_.dispose(std::move(it->second));
+  connections_.erase(it);
+}
+
+std::size_t Server::busy() const {
+  std::size_t count = 0;
+  for (const auto& [raw, connection] : connections_) count += !raw->idle();
+  return count;
+}
+
+void Server::drain() { draining_ = true; }
+
+void Server::close_idle() {
+  while (free_one()) continue;
+}
+
+void Server::close() {
+  loop_.cancel(pause_);
+  if (fd_ < 0) return;
+  loop_.forget(registration_);
+  ::close(std::exchange(fd_, -1));
+}
+
+}  // namespace keelflow
--- /dev/null
+++ b/node/inbound/server.h
@@ -0,0 +1,117 @@
+// The inbound side: a listener, its connections, and the fronts that answer requests on them.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "core/counters.h"
+#include "net/connection.h"
+#include "net/http.h"
+
+namespace keelflow {
+
+struct HttpRequest {
+  net::Head head;
+  std::string body;
+};
+
+class InboundConnection;
+
+// A request that a front has not finished answering. Kept by its connection, and told when the client has gone.
+class Exchange {
+ public:
+  virtual ~Exchange() = default;
+  virtual void on_client_gone() {}
+};
+
+class Front {
+ public:
+  virtual ~Front() = default;
+  // Answers at once and returns null, or returns what will answer later.
+  virtual std::unique_ptr<Exchange> on_request(InboundConnection& connection, HttpRequest request) = 0;
+  virtual void on_malformed() {}
+};
+
+using ExtraHeaders = std::vector<std::pair<std::string, std::string>>;
+
+class Server;
+
+class InboundConnection final : net::Connection::Events, net::HttpParser::Sink {
+ public:
+  InboundConnection(Server& server, net::EventLoop& loop, Front& front);
+  ~InboundConnection() override;
+  bool adopt(int fd) { return connection_.adopt(fd); }
+
+  void respond(int status, std::string_view body, const ExtraHeaders& headers = {});
+  void begin_stream(int status, const ExtraHeaders& headers);  // then pieces, then end_stream
+  void stream(std::string_view piece);
+  void end_stream();
+  std::size_t pending() const { return connection_.pending(); }
+  bool idle() const { return !busy_ && parser_.idle() && connection_.pending() == 0; }
+  TimePoint since() const { return since_; }
+  void abandon();  // closes; an exchange in hand hears that its client has gone
+
+ private:
+  friend class Server;
+  void on_data(std::string_view bytes) override;
+  void on_flushed() override;
+  void on_closed(int error) override;
+  void on_head(const net::Head& head) override;
+  void on_body(std::string_view bytes) override { request_.body += bytes; }
+  void on_complete() override;
+  void parse();
+  void reject();
+  void finished();
+  void guard(Duration patience);
+  void over();
+
+  Server& server_;
+  net::EventLoop& loop_;
+  Front& front_;
+  net::Connection connection_;
+  net::HttpParser parser_;
+  HttpRequest request_;
+  std::string waiting_;  // bytes of the next request, held until this one is answered
+  std::unique_ptr<Exchange> exchange_;
+  bool busy_ = false, parsing_ = false, keep_alive_ = true, over_ = false;
+  std::shared_ptr<int> alive_ = std::make_shared<int>(0);  // deferred work asks whether we still exist
+  TimePoint since_;
+  TimerId timer_ = 0;
+};
+
+class Server final : net::EventLoop::Handler {
+ public:
+  Server(net::EventLoop& loop, Front& front, std::size_t most_connections, Counters& counters);
+  ~Server() override;
+
+  void listen(const net::Address& address);  // throws std::system_error
+  net::Address address() const;              // the one bound
+  // From here on answers end their connection. Accepting goes on until `close`.
+  void drain();
+  void close_idle();
+  void close();
+  std::size_t connections() const { return connections_.size(); }
+  std::size_t busy() const;
+  // Called when descriptors are short; true if it freed one.
+  std::function<bool()> on_pressure;
+
+ private:
+  friend class InboundConnection;
+  void on_ready(std::uint32_t events) override;
+  void accept();
+  bool free_one();
+  void remove(InboundConnection& connection);
+
+  net::EventLoop& loop_;
+  Front& front_;
+  std::size_t most_;
+  Counters& counters_;
+  int fd_ = -1;
+  std::uint64_t registration_ = 0;
+  TimerId pause_ = 0;
+  bool draining_ = false;
+  std::unordered_map<InboundConnection*, std::unique_ptr<InboundConnection>> connections_;
+};
+
+}  // namespace keelflow
--- /dev/null
+++ b/node/main.cpp
@@ -0,0 +1,135 @@
+// keelflow: one node. Reads its configuration, joins the parts, runs until SIGTERM and what it had taken is done.
+#include <sys/resource.h>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <exception>
+
+#include "config/config.h"
+#include "core/engine.h"
+#include "discovery/destination_set.h"
+#include "inbound/platform_front.h"
+#include "inbound/server.h"
+#include "outbound/outbound.h"
+
+namespace keelflow {
+namespace {
+
+using namespace std::chrono_literals;
+
+// After SIGTERM the front still brings new connections for a while.
+constexpr Duration kStillArriving = 900ms;
+constexpr Duration kDrainCheck = 20ms;
+
+struct Budget {  // of descriptors, shared by all sockets of the process
+  std::size_t inbound, idle_outbound;
+};
+Budget split(std::size_t sockets) {
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur < sockets) sockets = limit.rlim_cur;
+  std::size_t usable = sockets > 64 ? sockets - 48 : sockets / 2;
+  return {usable * 6 / 10, usable / 4};
+}
+
+class Node {
+ public:
+  explicit Node(Config config)
+      : config_(std::move(config)), budget_(split(config_.sockets)),
+        engine_(config_.settings, config_.seed, {config_.most_held, config_.tick}, loop_, clock_, counters_),
+        destinations_(loop_, config_.discovery, config_.names,
+                      [this](reedlb::WorkerList list) { engine_.destinations(std::move(list)); }, counters_),
+        pool_(loop_, config_.idle_limit * 6 / 10, budget_.idle_outbound, counters_),
+        outbound_(loop_, engine_, destinations_, pool_, {config_.connect_timeout, config_.report_names}, counters_),
+        front_(loop_, engine_, outbound_, config_, counters_), server_(loop_, front_, budget_.inbound, counters_),
+        signals_(*this) {}
+
+  int run() {
+    engine_.connect(outbound_, destinations_);
+    server_.on_pressure = [this] { return pool_.free_one(); };
+    destinations_.known(config_.known);
+    signals_.open();
+    server_.listen(config_.listen);
+    loop_.run();
+    std::fputs(counters_.text().c_str(), stderr);
+    return 0;
+  }
+
+ private:
+  class Signals final : public net::EventLoop::Handler {
+   public:
+    explicit Signals(Node& node) : node_(node) {}
+    ~Signals() override {
+      if (fd_ >= 0) ::close(fd_);
+    }
+    void open() {
+      sigset_t set;
+      sigemptyset(&set);
+      for (int number : {SIGTERM, SIGINT, SIGUSR1}) sigaddset(&set, number);
+      sigprocmask(SIG_BLOCK, &set, nullptr);
+      fd_ = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
+      if (fd_ < 0 || node_.loop_.watch(fd_, *this) == 0) throw std::runtime_error("signalfd failed");
+    }
+    void on_ready(std::uint32_t) override {
+      for (signalfd_siginfo info; ::read(fd_, &info, sizeof info) == sizeof info;) {
+        if (info.ssi_signo == SIGUSR1) std::fputs(node_.counters_.text().c_str(), stderr);
+        else node_.drain();
+      }
+    }
+
+   private:
+    Node& node_;
+    int fd_ = -1;
+  };
+
+  // Nothing is turned away: what still comes is served, every answer ends its connection, and when nothing is
+  // open any more the program ends.
+  void drain() {
+    if (draining_) return;
+    draining_ = true;
+    until_ = loop_.now() + kStillArriving;
+    server_.drain();
+    check_drained();
+  }
+
+  void check_drained() {
+    server_.close_idle();
+    bool over = loop_.now() >= until_ && engine_.open_requests() == 0 && engine_.open_attempts() == 0 &&
+                server_.busy() == 0;
+    if (over) return loop_.stop();
+    loop_.at(loop_.now() + kDrainCheck, [this] { check_drained(); });
+  }
+
+  Config config_;
+  Budget budget_;
+  Counters counters_;
+  UnixClock clock_;
+  net::EventLoop loop_;
+  Engine engine_;
+  DestinationSet destinations_;
+  Pool pool_;
+  Outbound outbound_;
+  PlatformFront front_;
+  Server server_;
+  Signals signals_;
+  bool draining_ = false;
+  TimePoint until_;
+};
+
+}  // namespace
+}  // namespace keelflow
+
+int main() {
+  try {
+    std::signal(SIGPIPE, SIG_IGN);
+    const char* path = std::getenv("EDGE_CONFIG");
+    if (!path) throw keelflow::ConfigError("EDGE_CONFIG is not set");
+    keelflow::Node node(keelflow::read_config(path));
+    return node.run();
+  } catch (const std::exception& fault) {
+    std::fprintf(stderr, "keelflow: %s\n", fault.what());
+    return 2;
+  }
+}
--- /dev/null
+++ b/node/net/connection.cpp
@@ -0,0 +1,141 @@
+#include "net/connection.h"
+
+#include <netinet/tcp.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <utility>
+
+namespace keelflow::net {
+
+bool Connection::start(int fd) {
+  int on = 1;
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  registration_ = loop_.watch(fd, *this);
+  if (registration_ == 0) {
+    int error = errno;
+    ::close(fd);
+    errno = error;
+    return false;
+  }
+  fd_ = fd;
+  return true;
+}
+
+bool Connection::adopt(int fd) {
+  connected_ = true;
+  return start(fd);
+}
+
+bool Connection::connect(const Address& to) {
+  int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0) return false;
+  if (::connect(fd, reinterpret_cast<const sockaddr*>(&to.in), sizeof to.in) != 0 && errno != EINPROGRESS) {
+    int error = errno;
+    ::close(fd);
+    errno = error;
+    return false;
+  }
+  return start(fd);
+}
+
+void Connection::write(std::string_view bytes) {
+  if (fd_ < 0) return;
+  out_.append(bytes);
+  if (connected_) flush();
+}
+
+void Connection::close() {
+  if (fd_ < 0) return;
+  loop_.forget(registration_);
+  ::close(std::exchange(fd_, -1));
+}
+
+void Connection::fail(int error) {
+  if (fd_ < 0) return;
+  close();
+  events_.on_closed(error);
+}
+
+void Connection::pause_reading(bool pause) {
+  paused_ = pause;
+  if (!pause && readable_) read();  // the edge came while paused and will not come again
+}
+
+void Connection::on_ready(std::uint32_t events) {
+  if (!connected_) {
+    int error = 0;
+    socklen_t size = sizeof error;
+    getsockopt(fd_, SOL_SOCKET, SO_ERROR, &error, &size);
+    if (error != 0) return fail(error);
+    if (!(events & EPOLLOUT)) return;
+    connected_ = true;
+    events_.on_connected();
+    if (fd_ < 0) return;
+  }
+  // What the peer sent before it went away is read before its going is reported.
+  if (events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) {
+    readable_ = true;
+    if (!paused_) read();
+    else if (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) return fail(0);  // no edge will tell it again
+  }
+  if (fd_ >= 0 && (events & EPOLLOUT)) flush();
+}
+
+void Connection::read() {
+  std::array<char, 16384> buffer;
+  while (fd_ >= 0 && !paused_) {
+    ssize_t got = ::recv(fd_, buffer.data(), buffer.size(), 0);
+    if (got > 0) {
+      if (lingering_) continue;
+      events_.on_data({buffer.data(), static_cast<std::size_t>(got)});
+    } else if (got == 0) {
+      return fail(0);
+    } else if (errno == EAGAIN) {
+      readable_ = false;
+      return;
+    } else if (errno != EINTR) {
+      return fail(errno);
+    }
+  }
+}
+
+void Connection::flush() {
+  if (fd_ < 0 || !connected_) return;
+  bool had = pending() > 0;
+  while (pending() > 0) {
+    ssize_t sent = ::send(fd_, out_.data() + out_at_, pending(), MSG_NOSIGNAL);
+    if (sent > 0) {
+      out_at_ += static_cast<std::size_t>(sent);
+      written_ += static_cast<std::uint64_t>(sent);
+    } else if (errno == EAGAIN) {
+      return;
+    } else if (errno != EINTR) {
+      // The peer is gone. Its last words may still be unread, and the owner may be the one who called write:
+      // the read side reports it, in a turn of its own.
+      int error = errno;
+      out_.clear();
+      out_at_ = 0;
+      std::uint64_t mine = registration_;
+      loop_.defer([this, mine, error, &loop = loop_] {
+        if (loop.watched(mine)) fail(error);
+      });
+      return;
+    }
+  }
+  out_.clear();
+  out_at_ = 0;
+  if (close_when_flushed_ && !std::exchange(lingering_, true)) {
+    // Closing while bytes of the peer are unread would reset the connection and could take the answer with it.
+    ::shutdown(fd_, SHUT_WR);
+    paused_ = false;
+    if (readable_) read();
+    return;
+  }
+  if (had) events_.on_flushed();
+}
+
+}  // namespace keelflow::net
--- /dev/null
+++ b/node/net/connection.h
@@ -0,0 +1,60 @@
+// A non-blocking TCP connection as an object with callbacks.
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "net/address.h"
+#include "net/event_loop.h"
+
+namespace keelflow::net {
+
+class Connection final : public EventLoop::Handler {
+ public:
+  class Events {
+   public:
+    virtual ~Events() = default;
+    virtual void on_connected() {}
+    virtual void on_data(std::string_view bytes) = 0;
+    virtual void on_flushed() {}  // everything queued so far has been handed to the kernel
+    // The peer closed, reset, or never answered the connect. The Connection is closed already; last call.
+    virtual void on_closed(int error) = 0;
+  };
+
+  Connection(EventLoop& loop, Events& events) : loop_(loop), events_(events) {}
+  ~Connection() override { close(); }
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
+
+  bool adopt(int fd);                // an accepted socket; false (errno set): refused, fd closed
+  bool connect(const Address& to);   // false: no descriptor or refused at once (errno)
+  void write(std::string_view bytes);
+  void close();                      // no callback comes after this
+  // Sends what is queued, then the end; on_closed comes when the peer has closed too. What it sends is dropped.
+  void close_when_flushed() { close_when_flushed_ = true; flush(); }
+  void pause_reading(bool pause);
+
+  bool open() const { return fd_ >= 0; }
+  bool connected() const { return connected_; }
+  std::size_t pending() const { return out_.size() - out_at_; }
+  std::uint64_t written() const { return written_; }  // bytes that the kernel has taken
+
+ private:
+  void on_ready(std::uint32_t events) override;
+  bool start(int fd);
+  void read();
+  void flush();
+  void fail(int error);
+
+  EventLoop& loop_;
+  Events& events_;
+  int fd_ = -1;
+  std::uint64_t registration_ = 0;
+  bool connected_ = false, paused_ = false, readable_ = false, close_when_flushed_ = false,
+       lingering_ = false;
+  std::string out_;
+  std::size_t out_at_ = 0;
+  std::uint64_t written_ = 0;
+};
+
+}  // namespace keelflow::net
--- /dev/null
+++ b/node/net/event_loop.cpp
@@ -0,0 +1,53 @@
+#include "net/event_loop.h"
+
+#include <sys/epoll.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <system_error>
+#include <utility>
+
+namespace keelflow::net {
+
+EventLoop::EventLoop() : epoll_(epoll_create1(EPOLL_CLOEXEC)) {
+  if (epoll_ < 0) throw std::system_error(errno, std::generic_category(), "epoll_create1");
+}
+
+EventLoop::~EventLoop() { ::close(epoll_); }
+
+std::uint64_t EventLoop::watch(int fd, Handler& handler) {
+  epoll_event event{};
+  event.events = EPOLLIN | EPOLLOUT | EPOLLRDHUP | EPOLLET;
+  event.data.u64 = last_ + 1;
+  if (epoll_ctl(epoll_, EPOLL_CTL_ADD, fd, &event) != 0) return 0;
+  handlers_.emplace(++last_, &handler);
+  return last_;
+}
+
+void EventLoop::run() {
+  std::array<epoll_event, 128> events;
+  while (!stopped_) {
+    while (!deferred_.empty()) {
+      for (auto& task : std::exchange(deferred_, {})) task();
+    }
+    graveyard_.clear();
+    if (stopped_) break;
+    int timeout = -1;
+    if (auto next = timers_.next()) {
+      auto left = std::chrono::ceil<std::chrono::milliseconds>(*next - now()).count();
+      timeout = static_cast<int>(std::clamp<std::int64_t>(left, 0, 60000));
+    }
+    int count = epoll_wait(epoll_, events.data(), static_cast<int>(events.size()), timeout);
+    if (count < 0 && errno != EINTR) throw std::system_error(errno, std::generic_category(), "epoll_wait");
+    for (int i = 0; i < count; ++i) {
+      const epoll_event& event = events[static_cast<std::size_t>(i)];
+      auto it = handlers_.find(event.data.u64);
+      if (it != handlers_.end()) it->second->on_ready(event.events);
+    }
+    timers_.run(now());
+  }
+}
+
+}  // namespace keelflow::net
--- /dev/null
+++ b/node/net/event_loop.h
@@ -0,0 +1,58 @@
+// One thread, one epoll set, edge-triggered.
+#pragma once
+
+#include <csignal>
+#include <functional>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+#include "net/timer_queue.h"
+
+namespace keelflow::net {
+
+class EventLoop final : public TimerPort {
+ public:
+  class Handler {
+   public:
+    virtual ~Handler() = default;
+    virtual void on_ready(std::uint32_t events) = 0;
+  };
+
+  EventLoop();
+  ~EventLoop() override;
+  EventLoop(const EventLoop&) = delete;
+  EventLoop& operator=(const EventLoop&) = delete;
+
+  // Registers for every kind of event at once; a Handler is told of edges only and must work until EAGAIN.
+  // The number returned, not the descriptor, names the registration: the kernel reuses descriptors, and an event
+  // still queued for a closed one must not reach the new owner. Zero: the kernel refused (errno).
+  std::uint64_t watch(int fd, Handler& handler);
+  void forget(std::uint64_t registration) { handlers_.erase(registration); }
+  bool watched(std::uint64_t registration) const { return handlers_.contains(registration); }
+
+  TimePoint now() const override { return Clock::now(); }
+  TimerId at(TimePoint when, std::function<void()> task) override { return timers_.add(when, std::move(task)); }
+  void cancel(TimerId id) override { timers_.cancel(id); }
+  // Runs the task after the events in hand, before the loop sleeps.
+  void defer(std::function<void()> task) { deferred_.push_back(std::move(task)); }
+  // Deletes the object when no frame of the present turn can be inside it any more.
+  template <typename T>
+  void dispose(std::unique_ptr<T> object) {
+    if (object) graveyard_.push_back(std::shared_ptr<T>(std::move(object)));
+  }
+
+  void run();
+  void stop() { stopped_ = true; }
+
+ private:
+  int epoll_;
+  std::uint64_t last_ = 0;
+  bool stopped_ = false;
+  std::unordered_map<std::uint64_t, Handler*> handlers_;
+  TimerQueue timers_;
+  std::vector<std::function<void()>> deferred_;
+  std::vector<std::shared_ptr<void>> graveyard_;
+};
+
+}  // namespace keelflow::net
--- /dev/null
+++ b/node/outbound/client_connection.cpp
@@ -0,0 +1,50 @@
+#include "outbound/client_connection.h"
+
+#include <utility>
+
+namespace keelflow {
+
+void ClientConnection::send(const std::string& request) {
+  from_ = connection_.written() + connection_.pending();
+  size_ = request.size();
+  connection_.write(request);
+}
+
+// Our side counts a byte as written when the kernel has taken it: from then on it may arrive.
+Reach ClientConnection::reach() const {
+  std::uint64_t written = connection_.written();
+  if (size_ == 0 || written <= from_) return Reach::never_written;
+  return written < from_ + size_ ? Reach::partly_written : Reach::fully_written;
+}
+
+void ClientConnection::on_data(std::string_view bytes) {
+  while (!bytes.empty() && connection_.open()) {
+    // Bytes that nobody asked for: whatever they mean, the connection cannot be trusted with a request.
+    if (!user_) return connection_.close();
+    bytes.remove_prefix(parser_.feed(bytes, *this));
+    if (parser_.fault() != net::HttpParser::Fault::none) return connection_.close(), broken();
+  }
+}
+
+void ClientConnection::on_head(const net::Head& head) {
+  interim_ = head.status < 200;
+  keep_alive_ = head.keep_alive;
+  if (user_ && !interim_) user_->on_head(head);
+}
+
+void ClientConnection::on_complete() {
+  if (std::exchange(interim_, false)) return;
+  size_ = 0;
+  if (user_) user_->on_complete(keep_alive_ && connection_.open());
+}
+
+void ClientConnection::on_closed(int) {
+  if (parser_.finish(*this) && !user_) return;
+  broken();
+}
+
+void ClientConnection::broken() {
+  if (User* user = std::exchange(user_, nullptr)) user->on_broken();
+}
+
+}  // namespace keelflow
--- /dev/null
+++ b/node/outbound/outbound.h
@@ -0,0 +1,66 @@
+// The endpoints' side: attempts, their call-backs, cancelling, probes.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "core/engine.h"
+#include "discovery/destination_set.h"
+#include "outbound/pool.h"
+
+namespace keelflow {
+
+// What is sent on unchanged.
+struct Payload {
+  std::string method, target, id, idempotency_key, body;
+};
+
+// A call-back, as it came.
+struct News {
+  std::string id, from, state;
+  double share = 0;
+  std::string result;
+  reedlb::LoadReport report = {};
+};
+
+class OutboundCall;
+class ProbeCall;
+
+class Outbound final : public EndpointPort {
+ public:
+  struct Settings {
+    Duration connect_timeout;
+    std::vector<std::string> report_names;
+  };
+  Outbound(net::EventLoop& loop, Engine& engine, DestinationSet& destinations, Pool& pool, Settings settings,
+           Counters& counters);
+  ~Outbound() override;
+
+  void start(AttemptRef ref, WorkerId worker, const Job& job, TimePoint until) override;
+  void give_up(AttemptRef ref) override;
+  void probe(WorkerId worker) override;
+
+  // A call-back is believed only if its id, its sender and a running attempt fit; others change nothing.
+  void news(const News& news);
+
+  std::size_t calls() const { return calls_.size(); }
+
+ private:
+  friend class OutboundCall;
+  friend class ProbeCall;
+  void ended(OutboundCall& call, AttemptEnd end);
+
+  net::EventLoop& loop_;
+  Engine& engine_;
+  DestinationSet& destinations_;
+  Pool& pool_;
+  Settings settings_;
+  Counters& counters_;
+  std::map<std::pair<RequestId, int>, std::unique_ptr<OutboundCall>> calls_;
+  std::unordered_map<std::string, RequestId> by_name_;  // of the requests in calls_
+  std::unordered_map<ProbeCall*, std::unique_ptr<ProbeCall>> probes_;
+};
+
+}  // namespace keelflow
--- /dev/null
+++ b/node/outbound/outbound_call.cpp
@@ -0,0 +1,168 @@
+#include "outbound/outbound_call.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "outbound/load_report.h"
+
+namespace keelflow {
+namespace {
+
+constexpr int kMostDeletes = 3;  // tries to tell an endpoint that its job is given up
+constexpr Duration kDeletePause = std::chrono::milliseconds(100);
+constexpr Duration kDeletePatience = std::chrono::milliseconds(500);
+
+}  // namespace
+
+OutboundCall::OutboundCall(Outbound& owner, AttemptRef ref, WorkerId worker, const Destination& to, const Job& job,
+                           TimePoint until)
+    : owner_(owner), ref_(ref), worker_(worker), host_(to.host), dial_(to.dial), payload_(job.payload),
+      wants_progress_(job.wants_progress), until_(until) {}
+
+OutboundCall::~OutboundCall() {
+  owner_.loop_.cancel(timer_);
+  owner_.pool_.discard(std::move(connection_));
+}
+
+void OutboundCall::begin() {
+  connection_ = owner_.pool_.take(worker_, dial_);
+  if (!connection_) return end(Ending::broken);
+  connection_->attach(this);
+  if (connection_->connected()) return write_request();
+  timer_ = owner_.loop_.at(owner_.loop_.now() + owner_.settings_.connect_timeout, [this] { on_broken(); });
+}
+
+void OutboundCall::on_connected() {
+  owner_.loop_.cancel(timer_);
+  if (state_ == State::giving_up) return send_delete();
+  write_request();
+}
+
+void OutboundCall::write_request() {
+  state_ = State::asked;
+  auto left = std::chrono::floor<std::chrono::milliseconds>(until_ - owner_.loop_.now()).count();
+  const Payload& p = *payload_;
+  std::string request = p.method + " " + p.target + " HTTP/1.1\r\nHost: " + host_ + "\r\nX-Trace-Id: " + p.id + "\r\n";
+  if (!p.idempotency_key.empty()) request += "Idempotency-Key: " + p.idempotency_key + "\r\n";
+  if (wants_progress_) request += "Accept: text/event-stream\r\n";
+  request += "X-Expires-In-Ms: " + std::to_string(std::max<std::int64_t>(1, left)) + "\r\n";
+  request += "Content-Length: " + std::to_string(p.body.size()) + "\r\n\r\n" + p.body;
+  connection_->send(request);
+}
+
+// Once the connection is gone, what it had reached is what counts.
+Reach OutboundCall::reach() const { return connection_ ? std::max(reached_, connection_->reach()) : reached_; }
+
+void OutboundCall::on_head(const net::Head& head) {
+  if (state_ == State::giving_up || state_ == State::ended) return;
+  status_ = head.status;
+  never_ran_ = head.find("X-Never-Ran") == "1";
+  report_ = read_load_report(head.find("Endpoint-Load-Metrics"), owner_.settings_.report_names);
+  reached_ = Reach::fully_written;
+  if (status_ == 200 && head.find("Content-Type").starts_with("text/event-stream")) {
+    state_ = State::streaming;
+    reached_ = Reach::accepted;
+    connection_->allow_stream();
+  }
+}
+
+void OutboundCall::on_body(std::string_view bytes) {
+  if (state_ != State::streaming) return;
+  bool fine = events_.feed(bytes, [this](const SseEvent& event) {
+    if (state_ == State::streaming) read_event(event);
+  });
+  if (!fine && state_ == State::streaming) on_broken();
+}
+
+void OutboundCall::on_complete(bool reusable) {
+  if (state_ == State::streaming) return on_broken();  // an end without a final event
+  auto connection = std::move(connection_);
+  if (reusable) owner_.pool_.give_back(worker_, std::move(connection));
+  else owner_.pool_.discard(std::move(connection));
+  if (state_ == State::giving_up) return end(Ending::cancelled);
+  if (state_ != State::asked) return;
+  if (status_ == 202) {
+    state_ = State::accepted;
+    reached_ = Reach::accepted;
+    return;
+  }
+  bool turned_away = never_ran_ && (status_ == 503 || status_ == 504);
+  end(turned_away ? Ending::turned_away : Ending::error, {}, report_);
+}
+
+void OutboundCall::on_broken() {
+  reached_ = reach();
+  owner_.pool_.discard(std::move(connection_));
+  owner_.loop_.cancel(timer_);
+  if (state_ == State::giving_up) {
+    if (deletes_ >= kMostDeletes) return end(Ending::cancelled);
+    timer_ = owner_.loop_.at(owner_.loop_.now() + kDeletePause, [this] { send_delete(); });
+    return;
+  }
+  end(Ending::broken);
+}
+
+// Before the 202 the connection's end gives the attempt up. The 202 may be on its way, though, so an endpoint
+// that has had the whole request is told by name as well.
+void OutboundCall::give_up() {
+  if (state_ == State::ended || state_ == State::giving_up) return;
+  bool streaming = state_ == State::streaming;
+  reached_ = reach();
+  owner_.loop_.cancel(timer_);
+  owner_.pool_.discard(std::move(connection_));
+  if (streaming || reached_ < Reach::fully_written) return end(Ending::cancelled);
+  state_ = State::giving_up;
+  send_delete();
+}
+
+void OutboundCall::send_delete() {
+  owner_.loop_.cancel(timer_);
+  if (!connection_) {
+    ++deletes_;
+    connection_ = owner_.pool_.take(worker_, dial_);
+    if (!connection_) return on_broken();
+    connection_->attach(this);
+  }
+  timer_ = owner_.loop_.at(owner_.loop_.now() + kDeletePatience, [this] { on_broken(); });
+  if (!connection_->connected()) return;
+  connection_->send("DELETE /jobs/" + payload_->id + " HTTP/1.1\r\nHost: " + host_ +
+                    "\r\nContent-Length: 0\r\n\r\n");
+}
+
+void OutboundCall::news(const News& news) {
+  // A call-back that comes before the last byte is out belongs to an earlier attempt at the same endpoint.
+  if (state_ == State::ended || reach() < Reach::fully_written) {
+    ++owner_.counters_.news_unmatched;
+    return;
+  }
+  if (news.state == "done") return end(Ending::served, news.result, news.report);
+  if (news.state == "failed") return end(Ending::error, {}, news.report);
+  if (news.state == "returned") return end(Ending::turned_away, {}, news.report);
+  if (news.state == "lost") return reached_ = reach(), end(Ending::broken, {}, news.report);
+  if (state_ == State::giving_up) return;
+  if (news.state == "started") owner_.engine_.attempt_started(ref_);
+  if (news.state == "running") owner_.engine_.attempt_progress(ref_, news.share);
+}
+
+// The same words as in the call-backs: a stream is these, told on one connection.
+void OutboundCall::read_event(const SseEvent& event) {
+  News told{.id = payload_->id, .from = host_, .state = event.type, .result = {}};
+  if (event.type == "done") {
+    told.result = event.data;
+  } else if (event.type == "progress" || event.type == "running") {
+    auto data = nlohmann::json::parse(event.data, nullptr, false);
+    if (!data.is_object() || !data.contains("share") || !data["share"].is_number()) return;
+    told.state = "running";
+    told.share = data["share"].get<double>();
+  }
+  news(told);
+}
+
+void OutboundCall::end(Ending ending, std::string result, const reedlb::LoadReport& report) {
+  if (std::exchange(state_, State::ended) == State::ended) return;
+  owner_.loop_.cancel(timer_);
+  owner_.ended(*this, {.ending = ending, .reach = reach(), .result = std::move(result), .report = report});
+}
+
+}  // namespace keelflow
--- /dev/null
+++ b/node/outbound/outbound_call.h
@@ -0,0 +1,56 @@
+// One attempt of a request at one endpoint, from the connection to its end.
+#pragma once
+
+#include "outbound/outbound.h"
+#include "progress/event_stream.h"
+
+namespace keelflow {
+
+class OutboundCall final : ClientConnection::User {
+ public:
+  OutboundCall(Outbound& owner, AttemptRef ref, WorkerId worker, const Destination& to, const Job& job,
+               TimePoint until);
+  ~OutboundCall() override;
+
+  void begin();
+  void give_up();
+  void news(const News& news);
+  AttemptRef ref() const { return ref_; }
+  const std::string& host() const { return host_; }
+  const std::string& id() const { return payload_->id; }
+
+ private:
+  enum class State : std::uint8_t { connecting, asked, accepted, streaming, giving_up, ended };
+
+  void on_connected() override;
+  void on_head(const net::Head& head) override;
+  void on_body(std::string_view bytes) override;
+  void on_complete(bool reusable) override;
+  void on_broken() override;
+
+  void write_request();
+  void read_event(const SseEvent& event);
+  void send_delete();
+  void end(Ending ending, std::string result = {}, const reedlb::LoadReport& report = {});
+  Reach reach() const;
+
+  Outbound& owner_;
+  AttemptRef ref_;
+  WorkerId worker_;
+  std::string host_;
+  net::Address dial_;
+  std::shared_ptr<const Payload> payload_;
+  bool wants_progress_;
+  TimePoint until_;
+  State state_ = State::connecting;
+  Reach reached_ = Reach::never_written;
+  std::unique_ptr<ClientConnection> connection_;
+  TimerId timer_ = 0;
+  int status_ = 0;
+  bool never_ran_ = false;
+  reedlb::LoadReport report_;
+  SseParser events_;
+  int deletes_ = 0;
+};
+
+}  // namespace keelflow
