Add the progress front, hook, store and scenario tests; mend a use after free

Progress front: server-sent events from request to answer over the same Engine; plain statuses until the first event, one final event after it; heartbeats; slow readers lose progress, not the end. A Lua hook and a Redis store (hiredis), both off by default, neither on the path of an answer.

Seen: the tests with AddressSanitizer reported a use after free in EventLoop::run. Faulty lines: node/net/event_loop.cpp, graveyard_.clear(), walked a list while a destructor (OutboundCall) disposed of its own connection into it. Both lists are now taken out before they are walked. Another finding: an attempt called back just before its deadline was counted as timed out (Engine::recall), now not.

--- a/node/config/config.cpp
+++ b/node/config/config.cpp
@@ -52,7 +52,9 @@
   throw ConfigError(std::string("config: '") + key + "' is no address: '" + text + "'");
 }
 
-std::string slurp(const std::string& path) {
+}  // namespace
+
+std::string read_file(const std::string& path) {
   std::ifstream file(path);
   if (!file) throw ConfigError("config: cannot read '" + path + "'");
   std::ostringstream text;
@@ -60,8 +62,6 @@
   return text.str();
 }
 
-}  // namespace
-
 std::string flatten_settings(const std::string& text) {
   std::string out;
   flatten(json::parse(text), "", out);
@@ -102,7 +102,7 @@
   }
 }
 
-Config read_config(const std::string& path) { return decode_config(slurp(path)); }
+Config read_config(const std::string& path) { return decode_config(read_file(path)); }
 
 ProgressConfig read_progress_config(const std::string& path) {
   // A small part of TOML is enough here: key = "text" or key = number, one a line, and comments.
--- a/node/config/config.h
+++ b/node/config/config.h
@@ -29,6 +29,8 @@
   HostList known;
 };
 
+std::string read_file(const std::string& path);  // throws ConfigError
+
 // Reads the file that EDGE_CONFIG names. Throws ConfigError naming the fault.
 Config read_config(const std::string& path);
 Config decode_config(const std::string& text);
--- a/node/core/engine.cpp
+++ b/node/core/engine.cpp
@@ -148,8 +148,8 @@
 void Engine::recall(AttemptRef ref, bool timed_out) {
   Attempt* attempt = out(ref);
   if (!attempt) return;
-  attempt->timed_out |= timed_out;
   if (std::exchange(attempt->giving_up, true)) return;
+  attempt->timed_out = timed_out;
   endpoints_->give_up(ref);
 }
 
--- a/node/discovery/destination_set.cpp
+++ b/node/discovery/destination_set.cpp
@@ -95,7 +95,7 @@
 
 void DestinationSet::take(const HostList& list, reedlb::ListScope scope) {
   version_ = list.version;
-  has_list_ = true;
+  has_list_ = scope != reedlb::ListScope::cached || version_ > 0;  // no list yet: ask for the whole
   reedlb::WorkerList told;
   told.scope = scope;
   for (const Host& host : list.hosts) {
--- a/node/main.cpp
+++ b/node/main.cpp
@@ -14,6 +14,7 @@
 #include "inbound/platform_front.h"
 #include "inbound/server.h"
 #include "outbound/outbound.h"
+#include "progress/progress_front.h"
 
 namespace keelflow {
 namespace {
@@ -36,8 +37,8 @@
 
 class Node {
  public:
-  explicit Node(Config config)
-      : config_(std::move(config)), budget_(split(config_.sockets)),
+  Node(Config config, ProgressConfig progress)
+      : config_(std::move(config)), progress_(std::move(progress)), budget_(split(config_.sockets)),
         engine_(config_.settings, config_.seed, {config_.most_held, config_.tick}, loop_, clock_, counters_),
         destinations_(loop_, config_.discovery, config_.names,
                       [this](reedlb::WorkerList list) { engine_.destinations(std::move(list)); }, counters_),
@@ -52,6 +53,8 @@
     destinations_.known(config_.known);
     signals_.open();
     server_.listen(config_.listen);
+    std::fprintf(stderr, "keelflow: %s listens on %s\n", config_.name.c_str(), server_.address().text().c_str());
+    if (!progress_.listen.empty()) open_progress();
     loop_.run();
     std::fputs(counters_.text().c_str(), stderr);
     return 0;
@@ -84,6 +87,27 @@
     int fd_ = -1;
   };
 
+  static net::Address need_address(const std::string& text, const char* what) {
+    if (auto address = net::parse_address(text)) return *address;
+    throw ConfigError(std::string("progress.toml: '") + what + "' is no address: '" + text + "'");
+  }
+
+  void open_progress() {
+    if (!progress_.hook.empty()) hook_ = std::make_unique<Hook>(read_file(progress_.hook), progress_.hook, Hook::Limits{}, counters_);
+    if (!progress_.store.empty()) {
+      store_ = std::make_unique<Store>(
+          loop_, Store::Settings{.address = need_address(progress_.store, "store"), .expiry = progress_.expiry}, counters_);
+      store_->open();
+    }
+    progress_front_ = std::make_unique<ProgressFront>(loop_, engine_, front_, config_.names, hook_.get(), store_.get(),
+                                                      ProgressFront::Settings{.heartbeat = progress_.heartbeat}, counters_);
+    progress_server_ = std::make_unique<Server>(loop_, *progress_front_, budget_.inbound / 3, counters_);
+    progress_server_->on_pressure = server_.on_pressure;
+    progress_server_->listen(need_address(progress_.listen, "listen"));
+    std::fprintf(stderr, "keelflow: %s tells progress on %s\n", config_.name.c_str(),
+                 progress_server_->address().text().c_str());
+  }
+
   // Nothing is turned away: what still comes is served, every answer ends its connection, and when nothing is
   // open any more the program ends.
   void drain() {
@@ -91,18 +115,21 @@
     draining_ = true;
     until_ = loop_.now() + kStillArriving;
     server_.drain();
+    if (progress_server_) progress_server_->drain();
     check_drained();
   }
 
   void check_drained() {
     server_.close_idle();
+    if (progress_server_) progress_server_->close_idle();
     bool over = loop_.now() >= until_ && engine_.open_requests() == 0 && engine_.open_attempts() == 0 &&
-                server_.busy() == 0;
+                server_.busy() == 0 && (!progress_server_ || progress_server_->busy() == 0);
     if (over) return loop_.stop();
     loop_.at(loop_.now() + kDrainCheck, [this] { check_drained(); });
   }
 
   Config config_;
+  ProgressConfig progress_;
   Budget budget_;
   Counters counters_;
   UnixClock clock_;
@@ -113,6 +140,10 @@
   Outbound outbound_;
   PlatformFront front_;
   Server server_;
+  std::unique_ptr<Hook> hook_;
+  std::unique_ptr<Store> store_;
+  std::unique_ptr<ProgressFront> progress_front_;
+  std::unique_ptr<Server> progress_server_;
   Signals signals_;
   bool draining_ = false;
   TimePoint until_;
@@ -126,7 +157,7 @@
     std::signal(SIGPIPE, SIG_IGN);
     const char* path = std::getenv("EDGE_CONFIG");
     if (!path) throw keelflow::ConfigError("EDGE_CONFIG is not set");
-    keelflow::Node node(keelflow::read_config(path));
+    keelflow::Node node(keelflow::read_config(path), keelflow::read_progress_config("deploy/progress.toml"));
     return node.run();
   } catch (const std::exception& fault) {
     std::fprintf(stderr, "keelflow: %s\n", fault.what());
--- a/node/net/event_loop.cpp
+++ b/node/net/event_loop.cpp
@@ -29,10 +29,12 @@
 void EventLoop::run() {
   std::array<epoll_event, 128> events;
   while (!stopped_) {
-    while (!deferred_.empty()) {
+    // A deferred task may defer more, and a destructor may dispose of what it owned: neither list may be walked
+    // while it grows.
+    while (!deferred_.empty() || !graveyard_.empty()) {
       for (auto& task : std::exchange(deferred_, {})) task();
+      std::exchange(graveyard_, {}).clear();
     }
-    graveyard_.clear();
     if (stopped_) break;
     int timeout = -1;
     if (auto next = timers_.next()) {
--- /dev/null
+++ b/node/progress/progress_front.h
@@ -0,0 +1,43 @@
+// The second front: progress as server-sent events. The same Engine and the same rules as the platform's front.
+#pragma once
+
+#include <string>
+
+#include "hooks/hook.h"
+#include "inbound/platform_front.h"
+#include "progress/event_stream.h"
+#include "store/store.h"
+
+namespace keelflow {
+
+class ProgressFront final : public Front {
+ public:
+  struct Settings {
+    Duration heartbeat;
+    std::size_t most_pending = 64 * 1024;  // unread by the client; beyond it progress is dropped, never the end
+  };
+  // `hook` and `store` may be null: both are off unless configured.
+  ProgressFront(net::EventLoop& loop, Engine& engine, PlatformFront& platform, const Names& names, Hook* hook,
+                Store* store, Settings settings, Counters& counters)
+      : loop_(loop), engine_(engine), platform_(platform), names_(names), hook_(hook), store_(store),
+        settings_(settings), counters_(counters) {}
+
+  std::unique_ptr<Exchange> on_request(InboundConnection& connection, HttpRequest request) override;
+  void on_malformed() override { platform_.on_malformed(); }
+
+ private:
+  friend class ProgressStream;
+  friend class ReplayStream;
+  std::unique_ptr<Exchange> replay(InboundConnection& connection, const HttpRequest& request);
+
+  net::EventLoop& loop_;
+  Engine& engine_;
+  PlatformFront& platform_;
+  const Names& names_;
+  Hook* hook_;
+  Store* store_;
+  Settings settings_;
+  Counters& counters_;
+};
+
+}  // namespace keelflow
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -25,6 +25,7 @@
 constexpr double kCrowdWait = 4;     // in crowding a job waits up to so many times longer for home workers
 constexpr double kCrowded = 0.5;     // above this crowding overdue jobs wait
 constexpr int kMaxStrikes = 3;       // doublings of that while it looks ill
+constexpr double kComeBack = 0.25;   // a refused client is asked to come back after so many usual runs
 constexpr double kHomes = 4;         // home workers a dispatcher has, if there are enough
 constexpr double kOverflow = 0.1;    // usual runs a job waits for a home worker before it goes elsewhere
 constexpr int kKeyProbes = 16;       // ring look-ups that order a key's workers
@@ -411,10 +412,17 @@
 
   void finish(Request& r) {
     if (r.ended) return;
-    out->push_back(may_bounce(r) ? Action(Refuse{r.job.request, 0}) : Action(Fail{r.job.request}));
+    out->push_back(may_bounce(r) ? Action(Refuse{r.job.request, come_back()}) : Action(Fail{r.job.request}));
     end(r);
   }
 
+  // A refusal goes out at once and says when to try again: soon, about when one of a worker's slots is free.
+  double come_back() const {
+    if (!s.retry_after) return 0;
+    double least = 4 * s.tick_ms;
+    return std::clamp(kComeBack * mean_run, least, std::max(least, s.max_retry_after_ms));
+  }
+
   void end(Request& r) {  // attempts still out are called off; forget_if_done comes next
     unhold(r);
     r.ended = true;
@@ -441,7 +449,7 @@
 
   void on(const Arrival& e) {
     if (find_request(e.request)) return;
-    if (e.cls < 0 || at(e.cls) >= s.classes.size()) return out->push_back(Refuse{e.request, 0});
+    if (e.cls < 0 || at(e.cls) >= s.classes.size()) return out->push_back(Refuse{e.request, come_back()});
     Request& r = requests[e.request];
     r.job = e;
     bool hinted = std::isfinite(e.hint) && e.hint > 0;
--- /dev/null
+++ b/tests/node/platform_test.cpp
@@ -0,0 +1,370 @@
+// The platform's protocol, seen from outside: the real program, stand-in clients, endpoints and discovery.
+#include "scenario.h"
+#include "start.h"
+
+namespace keelflow::test {
+namespace {
+
+void play(const std::string& text, const Options& options = {}) {
+  Scenario scenario(options);
+  scenario.play(kStart);
+  if (!testing::Test::HasFailure()) scenario.play(text);
+}
+
+TEST(Platform, AJobIsSentOnUnchangedAndItsResultIsTheAnswer) {
+  play(R"(
+    open c
+    send c GET /up HTTP/1.1\r\n\r\n
+    expect c HTTP/1.1 200
+    expect c up\n
+    send c job A price 5000
+    accept b box
+    expect b POST /price/x?y=1 HTTP/1.1
+    expect b X-Trace-Id: A\r\n
+    expect b Idempotency-Key: k-A
+    expect b X-Expires-In-Ms: 
+    expect b \r\n\r\nbody
+    send b ok 202
+    news A box started
+    news A box running {"share":0.5}
+    news A box done {"result":"forty-two"}
+    expect c HTTP/1.1 200
+    expect c \r\n\r\nforty-two
+    # the connection of the first job is used again, on both sides
+    send c job B price 5000
+    expect b X-Trace-Id: B
+    send b ok 202
+    news B box done {"result":"next"}
+    expect c \r\n\r\nnext
+    wait answers_served 2
+    wait connections_opened 1
+  )");
+}
+
+TEST(Platform, CallBacksThatAreEarlyStrangeStaleOrRepeatedChangeNothing) {
+  play(R"(
+    news nobody box done {"result":"x"}
+    open c
+    send c job A sale 5000
+    accept b box
+    expect b body
+    news A other done {"result":"forged"}
+    news A box started
+    news A box started
+    news A box done {"result":"early"}
+    expect c \r\n\r\nearly
+    news A box done {"result":"again"}
+    news A box lost
+    wait news_unmatched 4
+    wait answers_served 1
+    absent c HTTP/1.1
+  )");
+}
+
+TEST(Platform, AMalformedCallBackIsAnsweredAndHarmless) {
+  play(R"(
+    open n
+    send n POST /_jobs/news HTTP/1.1\r\nContent-Length: 5\r\n\r\n{"id"
+    expect n HTTP/1.1 400
+    send n POST /_jobs/news HTTP/1.1\r\nContent-Length: 29\r\n\r\n{"id":1,"from":2,"state":true}
+    expect n HTTP/1.1 400
+    wait requests_rejected 2
+  )");
+}
+
+TEST(Platform, AResetAfterTheLastByteEndsAnUnsafeJobAndRepeatsASafeOne) {
+  play(R"(
+    open u
+    send u job U sale 5000
+    accept b box
+    expect b body
+    reset b
+    expect u HTTP/1.1 502
+    wait attempts_reset 1
+    wait attempts_started 1
+    open s
+    send s job S price 5000
+    accept b2 box
+    expect b2 body
+    reset b2
+    accept b3 box
+    expect b3 X-Trace-Id: S
+    expect b3 body
+    send b3 ok 202
+    news S box done {"result":"second"}
+    expect s second
+    wait attempts_started 3
+  )");
+}
+
+TEST(Platform, AnEndpointThatTurnsAwayOrHandsBackIsAskedAgainEvenForUnsafeWork) {
+  play(R"(
+    open c
+    send c job A sale 8000
+    accept b box
+    expect b body
+    send b ok 503 X-Never-Ran: 1\r\n
+    expect b X-Trace-Id: A
+    expect b body
+    send b ok 202
+    news A box returned
+    expect b X-Trace-Id: A
+    expect b body
+    send b ok 202
+    news A box done {"result":"third"}
+    expect c third
+    wait attempts_turned_away 2
+  )");
+}
+
+TEST(Platform, AnErrorWithoutTheWordThatItNeverRanMayHaveRun) {
+  play(R"(
+    open c
+    send c job A sale 5000
+    accept b box
+    expect b body
+    send b ok 503
+    expect c HTTP/1.1 502
+    wait attempts_error 1
+  )");
+}
+
+TEST(Platform, ARefusedConnectionNeverRanAndIsRefusedAtOnceWithAHint) {
+  play(R"(
+    stop box
+    open c
+    send c job A sale 10000
+    expect c HTTP/1.1 503
+    expect c Retry-After: 0.
+    wait attempts_never_connected 3
+    wait attempts_reset 0
+  )");
+}
+
+TEST(Platform, AClientThatGoesStopsTheWork) {
+  play(R"(
+    open c
+    send c job A price 5000
+    accept b box
+    expect b body
+    send b ok 202
+    news A box started
+    close c
+    expect b DELETE /jobs/A HTTP/1.1
+    send b ok 200
+    wait clients_gone 1
+    wait attempts_cancelled 1
+    # before the 202, the end of the connection is what tells the endpoint; the name is told as well
+    open d
+    send d job B price 5000
+    expect b X-Trace-Id: B
+    expect b body
+    reset d
+    closed b
+    accept b2 box
+    expect b2 DELETE /jobs/B
+    send b2 ok 404
+    wait attempts_cancelled 2
+  )");
+}
+
+TEST(Platform, AJobWithoutAnAnswerIsFailedByItsDeadlineAndCalledBack) {
+  play(R"(
+    open c
+    send c job A sale 300
+    accept b box
+    expect b body
+    send b ok 202
+    expect c HTTP/1.1 504
+    expect b DELETE /jobs/A
+    send b ok 200
+    wait attempts_cancelled 1
+  )");
+}
+
+TEST(Platform, AnIdTwiceAtOnceIsOneJob) {
+  play(R"(
+    open c
+    send c job A price 5000
+    accept b box
+    expect b body
+    open d
+    send d job A price 5000
+    expect d HTTP/1.1 400
+    send b ok 202
+    news A box done {"result":"one"}
+    expect c one
+    wait attempts_started 1
+  )");
+}
+
+TEST(Platform, MalformedInputIsAnsweredForWhatItIs) {
+  play(R"(
+    open a
+    send a GARBAGE\r\n\r\n
+    expect a HTTP/1.1 400
+    closed a
+    open b
+    send b job A nosuch 100
+    expect b HTTP/1.1 404
+    send b GET /price/x HTTP/1.1\r\n\r\n
+    expect b HTTP/1.1 405
+    send b POST /price/x HTTP/1.1\r\nContent-Length: 0\r\n\r\n
+    expect b HTTP/1.1 400
+    send b job A price soon
+    expect b HTTP/1.1 400
+    send b job ../A price 100
+    expect b HTTP/1.1 400
+    open c
+    send c POST /price/x HTTP/1.1\r\nContent-Length: 65537\r\n\r\n
+    expect c HTTP/1.1 413
+    closed c
+    open d
+    send d GET /up HTTP/1.1\r\nX: 
+    fill d 20000 y
+    expect d HTTP/1.1 431
+    closed d
+    open e
+    send e POST /price/x HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n
+    expect e HTTP/1.1 400
+    open f
+    send f POST /price/x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n
+    send f 10001\r\n
+    expect f HTTP/1.1 413
+    wait requests_rejected 10
+    wait requests_taken 0
+  )");
+}
+
+TEST(Platform, PipelinedAndPiecewiseRequestsAreAnsweredInOrder) {
+  play(R"(
+    open c
+    send c GET /up HTT
+    send c P/1.1\r\n\r\nGET /nosuch HTTP/1.1\r\n\r\nGET /up HTTP/1.1\r\n\r\n
+    expect c HTTP/1.1 200
+    expect c HTTP/1.1 404
+    expect c HTTP/1.1 200
+  )");
+}
+
+TEST(Platform, ATermSignalEndsTheProgramWhenAllIsAnswered) {
+  play(R"(
+    open idle
+    send idle GET /up HTTP/1.1\r\n\r\n
+    expect idle up\n
+    open c
+    send c job A price 5000
+    accept b box
+    expect b body
+    send b ok 202
+    signal TERM
+    closed idle
+    # the front still sends for a while: what comes is served
+    open late
+    send late job B price 5000
+    expect b body
+    send b ok 202
+    news B box done {"result":"too"}
+    expect late Connection: close
+    expect late too
+    news A box done {"result":"first"}
+    expect c Connection: close
+    expect c first
+    closed c
+    exit 0
+  )");
+}
+
+TEST(Platform, OutOfDescriptorsItStillServesWhatItTook) {
+  Options options;
+  options.sockets = 64;
+  std::string many;
+  for (int i = 0; i < 80; ++i) many += "open idle" + std::to_string(i) + "\n";
+  play(many + R"(
+    open c
+    send c job A price 8000
+    accept b box
+    expect b body
+    send b ok 202
+    news A box done {"result":"served"}
+    expect c served
+  )", options);
+}
+
+TEST(Discovery, PiecesOfLinesChangesAndANewAddressAreTaken) {
+  play(R"(
+    send disco 1\r\n\n\r\n
+    send disco 8\r\n{"seq":1
+    send disco \r\n
+    send disco 19\r\n0,"whole":false,"hosts":[\r\n
+    send disco 3\r\n]}\n\r\n
+    wait lists_received 3
+    # the same box at another address: work goes there, and no old connection is used for it
+    open c
+    send c job A price 5000
+    accept b box
+    expect b body
+    send b ok 202
+    news A box done {"result":"a"}
+    expect c \r\n\r\na
+    list box:ready:box2
+    wait lists_received 4
+    send c job B price 5000
+    accept b2 box2
+    expect b2 X-Trace-Id: B
+    send b2 ok 202
+    news B box done {"result":"b"}
+    expect c \r\n\r\nb
+  )");
+}
+
+TEST(Discovery, NothingNewGoesToABoxThatDrainsOrIsOmittedFromAWholeList) {
+  play(R"(
+    list box:draining box2:ready
+    wait lists_received 3
+    open c
+    send c job A price 5000
+    accept b2 box2
+    expect b2 X-Trace-Id: A
+    send b2 ok 202
+    news A box2 done {"result":"a"}
+    expect c \r\n\r\na
+    list whole box:ready
+    wait lists_received 4
+    send c job B price 5000
+    accept b box
+    expect b X-Trace-Id: B
+    send b ok 202
+    news B box done {"result":"b"}
+    expect c \r\n\r\nb
+  )");
+}
+
+TEST(Discovery, ABrokenOrGarbledWatchIsResumedFromTheLastVersion) {
+  play(R"(
+    close disco
+    accept disco disco
+    expect disco GET /discovery/hosts?follow=1&since=2 HTTP
+    send disco HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n
+    accept disco disco
+    expect disco since=2 HTTP
+    send disco HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n
+    list box2:ready
+    send disco chunk {"seq":"no list"}\n
+    accept disco disco
+    expect disco since=3 HTTP
+    wait watches_broken 3
+  )");
+}
+
+TEST(Discovery, AWatchThatFallsSilentIsGivenUp) {
+  play(R"(
+    closed disco
+    accept disco disco
+    expect disco since=2 HTTP
+    wait watches_broken 1
+  )");
+}
+
+}  // namespace
+}  // namespace keelflow::test
--- /dev/null
+++ b/tests/node/scenario.cpp
@@ -0,0 +1,332 @@
+#include "scenario.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <signal.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <cstring>
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+namespace keelflow::test {
+namespace {
+
+constexpr auto kLimit = std::chrono::seconds(20);
+using Clock = std::chrono::steady_clock;
+
+constexpr const char* kSettings = R"({
+  "balancers": 1, "rank": 0, "locality": 0, "dcs": ["east", "west"], "kinds": ["fast"],
+  "classes": [
+    {"name": "price", "effect": "safe", "target_ms": 500.0, "value": 1.0},
+    {"name": "hold", "effect": "keyed", "key_scope": "zone", "dedup_window_ms": 5000.0, "target_ms": 500.0},
+    {"name": "sale", "effect": "unsafe", "target_ms": 500.0}],
+  "tenants": [{"name": "river street", "quota_per_s": 10.0}],
+  "granularity_ms": 4.0, "registry_mode": "ask",
+  "family_info": {"tells_start": true, "class_stretch": [2.0, 2.0, 2.0], "report_x0": "free_slots"},
+  "limits": {"cancel": true, "probes": true, "parallel_tries": false, "retry_after": true, "try_limit": 3,
+             "max_retry_after_ms": 2000.0, "conn_idle_ms": 5000.0, "connect_timeout_ms": 200.0, "most_held": 20000},
+  "report": {"names": ["err_rps", "cpu", "x0"], "via": "probe"},
+  "safety": {"ask_within_ms": 10000.0, "cold_from": 0.14, "cold_ms": 23000.0, "drain_grace_ms": 500.0,
+             "fall_ms": 2000.0, "fall_multiple": 4.0, "grace_to_answer_ms": 16.0}})";
+
+sockaddr_in loopback(int port) {
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(static_cast<std::uint16_t>(port));
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  return address;
+}
+
+std::string unescape(const std::string& text) {
+  std::string out;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    if (text[i] != '\\' || i + 1 == text.size()) {
+      out += text[i];
+      continue;
+    }
+    char c = text[++i];
+    out += c == 'n' ? '\n' : c == 'r' ? '\r' : c == 's' ? ' ' : c;
+  }
+  return out;
+}
+
+std::string rest_of(std::istringstream& in) {
+  std::string rest;
+  std::getline(in >> std::ws, rest);
+  return rest;
+}
+
+}  // namespace
+
+Scenario::Scenario(const Options& options) {
+  char name[] = "/tmp/keelflow-test-XXXXXX";
+  folder_ = mkdtemp(name);
+  for (const char* place : {"disco", "box", "box2", "redis"}) {
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address = loopback(0);
+    socklen_t size = sizeof address;
+    if (bind(fd, reinterpret_cast<sockaddr*>(&address), size) != 0 || listen(fd, 64) != 0) throw std::runtime_error(place);
+    getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
+    listeners_[place] = fd;
+    ports_[place] = ntohs(address.sin_port);
+  }
+  auto settings = nlohmann::json::parse(kSettings);
+  if (!options.settings.empty()) settings.merge_patch(nlohmann::json::parse(options.settings));
+  nlohmann::json config = {{"name", "n1"}, {"listen", "127.0.0.1:0"}, {"seed", "8c1f30d27a5be964"},
+                           {"discovery", "127.0.0.1:" + std::to_string(ports_["disco"])},
+                           {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", options.sockets}}},
+                           {"settings", settings}};
+  std::ofstream(folder_ + "/config.json") << config;
+  std::filesystem::create_directory(folder_ + "/deploy");
+  if (!options.progress.empty()) {
+    std::ofstream file(folder_ + "/deploy/progress.toml");
+    file << "listen = \"127.0.0.1:0\"\n" << options.progress << "\n";
+    if (!options.script.empty()) file << "hook = \"deploy/progress.lua\"\n";
+    if (options.store) file << "store = \"127.0.0.1:" << ports_["redis"] << "\"\n";
+    std::ofstream(folder_ + "/deploy/progress.lua") << options.script;
+  }
+  int ends[2];
+  if (pipe2(ends, O_CLOEXEC) != 0) throw std::runtime_error("pipe");
+  log_ = ends[0];
+  program_ = fork();
+  if (program_ == 0) {
+    dup2(ends[1], 2);
+    rlimit limit{static_cast<rlim_t>(options.sockets), static_cast<rlim_t>(options.sockets)};
+    setrlimit(RLIMIT_NOFILE, &limit);
+    setenv("EDGE_CONFIG", (folder_ + "/config.json").c_str(), 1);
+    if (chdir(folder_.c_str()) == 0) execl(KEELFLOW_PROGRAM, KEELFLOW_PROGRAM, nullptr);
+    _exit(127);
+  }
+  close(ends[1]);
+  auto port_after = [&](const std::string& words) {
+    auto until = Clock::now() + kLimit;
+    char piece[4096];
+    while (Clock::now() < until) {
+      auto at = log_text_.find(words);
+      auto end = at == std::string::npos ? at : log_text_.find('\n', at);
+      if (end != std::string::npos) return std::stoi(log_text_.substr(log_text_.rfind(':', end) + 1));
+      pollfd ready{log_, POLLIN, 0};
+      poll(&ready, 1, 1000);
+      ssize_t got = ready.revents ? read(log_, piece, sizeof piece) : 0;
+      if (got > 0) log_text_.append(piece, static_cast<std::size_t>(got));
+      else if (ready.revents) break;
+    }
+    throw std::runtime_error("the program did not start: " + log_text_);
+  };
+  node_port_ = port_after("n1 listens on");
+  if (!options.progress.empty()) progress_port_ = port_after("n1 tells progress on");
+}
+
+Scenario::~Scenario() {
+  for (auto& [name, line] : lines_)
+    if (line.fd >= 0) close(line.fd);
+  for (auto& [place, fd] : listeners_)
+    if (fd >= 0) close(fd);
+  if (program_ > 0) {
+    kill(program_, SIGKILL);
+    waitpid(program_, nullptr, 0);
+  }
+  if (testing::Test::HasFailure()) {  // the sanitizers' word is in the log
+    char piece[65536];
+    for (ssize_t got; (got = read(log_, piece, sizeof piece)) > 0;) log_text_.append(piece, static_cast<std::size_t>(got));
+    std::fprintf(stderr, "--- the program's log\n%s\n", log_text_.c_str());
+  }
+  close(log_);
+  std::filesystem::remove_all(folder_);
+}
+
+int Scenario::port(const std::string& place) const { return ports_.at(place); }
+
+void Scenario::play(const std::string& text) {
+  std::istringstream in(text);
+  for (std::string line; std::getline(in, line);) {
+    auto start = line.find_first_not_of(" \t");
+    if (start == std::string::npos || line[start] == '#') continue;
+    SCOPED_TRACE(line);
+    act(line.substr(start));
+    if (testing::Test::HasFatalFailure() || testing::Test::HasNonfatalFailure()) return;
+  }
+}
+
+Scenario::Line& Scenario::line(const std::string& name) {
+  auto it = lines_.find(name);
+  if (it == lines_.end()) throw std::runtime_error("no connection '" + name + "'");
+  return it->second;
+}
+
+bool Scenario::receive(Line& from) {
+  pollfd ready{from.fd, POLLIN, 0};
+  int limit = static_cast<int>(std::chrono::milliseconds(kLimit).count());
+  if (poll(&ready, 1, limit) <= 0) return false;
+  char piece[65536];
+  ssize_t got = recv(from.fd, piece, sizeof piece, 0);
+  if (got > 0) from.unread.append(piece, static_cast<std::size_t>(got));
+  else from.ended = true;
+  return true;
+}
+
+std::string Scenario::message(std::string text) const {
+  std::istringstream in(text);
+  std::string word, id, cls, patience;
+  in >> word;
+  if (word == "job" || word == "stream") {
+    in >> id >> cls >> patience;
+    std::string extra = unescape(rest_of(in));
+    if (word == "stream") extra += "Accept: text/event-stream\r\n";
+    return "POST /" + cls + "/x?y=1 HTTP/1.1\r\nHost: app.svc\r\nX-Trace-Id: " + id + "\r\nX-Customer: river street\r\n" +
+           "X-Expires-In-Ms: " + patience + "\r\nX-Size-Hint: 100000\r\nIdempotency-Key: k-" + id + "\r\n" + extra +
+           "Content-Length: 4\r\n\r\nbody";
+  }
+  if (word == "ok") {
+    in >> cls;
+    return "HTTP/1.1 " + cls + " Status\r\n" + unescape(rest_of(in)) + "Content-Length: 0\r\n\r\n";
+  }
+  if (word == "chunk") {
+    std::string body = unescape(rest_of(in));
+    std::ostringstream out;
+    out << std::hex << body.size() << "\r\n" << body << "\r\n";
+    return out.str();
+  }
+  return unescape(text);
+}
+
+void Scenario::send(Line& to, std::string text) {
+  for (std::size_t at = 0; at < text.size();) {
+    ssize_t sent = ::send(to.fd, text.data() + at, text.size() - at, MSG_NOSIGNAL);
+    if (sent <= 0) return;  // the node has ended the connection; what it says of that comes with the next lines
+    at += static_cast<std::size_t>(sent);
+  }
+}
+
+std::string Scenario::counter(const std::string& name) {
+  int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in to = loopback(node_port_);
+  if (connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof to) != 0) return close(fd), "none";
+  Line own{fd, "", false};
+  send(own, "GET /counters HTTP/1.1\r\nConnection: close\r\n\r\n");
+  while (!own.ended && receive(own)) continue;
+  close(fd);
+  auto at = own.unread.find("keelflow_" + name + " ");
+  if (at == std::string::npos) return "none";
+  at = own.unread.find(' ', at) + 1;
+  return own.unread.substr(at, own.unread.find('\n', at) - at);
+}
+
+void Scenario::list(const std::string& words) {
+  std::istringstream in(words);
+  nlohmann::json hosts = nlohmann::json::array();
+  bool whole = false;
+  for (std::string word; in >> word;) {
+    if (word == "whole") {
+      whole = true;
+      continue;
+    }
+    auto colon = word.find(':'), second = word.find(':', colon + 1);
+    std::string host = word.substr(0, colon), state = word.substr(colon + 1, second - colon - 1);
+    std::string place = second == std::string::npos ? host : word.substr(second + 1);
+    hosts.push_back({{"host", host}, {"dial", "127.0.0.1:" + std::to_string(port(place))}, {"site", "east"},
+                     {"class", "fast"}, {"block", 1}, {"health", state}, {"share", 1.0}, {"born_ms", 0}});
+  }
+  nlohmann::json told = {{"seq", ++version_}, {"whole", whole}, {"hosts", hosts}};
+  send(line("disco"), message("chunk " + told.dump() + "\\n"));
+}
+
+void Scenario::act(const std::string& text) {
+  std::istringstream in(text);
+  std::string verb, name;
+  in >> verb >> name;
+  auto until = Clock::now() + kLimit;
+  if (verb == "open") {
+    std::string where;
+    in >> where;
+    sockaddr_in to = loopback(where == "progress" ? progress_port_ : node_port_);
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    ASSERT_EQ(connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof to), 0) << strerror(errno);
+    lines_[name] = {fd, "", false};
+  } else if (verb == "accept") {
+    std::string place;
+    in >> place;
+    pollfd ready{listeners_.at(place), POLLIN, 0};
+    ASSERT_EQ(poll(&ready, 1, static_cast<int>(std::chrono::milliseconds(kLimit).count())), 1) << "nobody connects";
+    lines_[name] = {accept4(listeners_.at(place), nullptr, nullptr, SOCK_CLOEXEC), "", false};
+  } else if (verb == "send") {
+    send(line(name), message(rest_of(in)));
+  } else if (verb == "fill") {
+    int count = 0;
+    in >> count;
+    std::string piece = message(rest_of(in));
+    for (int i = 0; i < count; ++i) send(line(name), piece);
+  } else if (verb == "expect" || verb == "absent") {
+    std::string want = unescape(rest_of(in));
+    Line& from = line(name);
+    if (verb == "absent") {
+      ASSERT_EQ(from.unread.find(want), std::string::npos) << from.unread;
+      return;
+    }
+    std::size_t at;
+    while ((at = from.unread.find(want)) == std::string::npos) {
+      ASSERT_FALSE(from.ended) << "ended; had: " << from.unread;
+      ASSERT_TRUE(receive(from)) << "did not come; had: " << from.unread;
+    }
+    from.unread.erase(0, at + want.size());
+  } else if (verb == "closed") {
+    while (!line(name).ended) ASSERT_TRUE(receive(line(name))) << "still open";
+  } else if (verb == "close" || verb == "reset") {
+    linger now{verb == "reset", 0};
+    setsockopt(line(name).fd, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+    close(line(name).fd);
+    lines_.erase(name);
+  } else if (verb == "news") {
+    std::string from, state;
+    in >> from >> state;
+    std::string extra = rest_of(in);
+    nlohmann::json body = extra.empty() ? nlohmann::json::object() : nlohmann::json::parse(extra);
+    body.update({{"id", name}, {"from", from}, {"state", state}});
+    std::string out = body.dump();
+    act("open news");
+    send(line("news"), "POST /_jobs/news HTTP/1.1\r\nContent-Length: " + std::to_string(out.size()) + "\r\n\r\n" + out);
+    act("expect news HTTP/1.1 200");
+    act("close news");
+  } else if (verb == "report") {
+    std::string from;
+    in >> from;
+    for (std::string share; in >> share; sleep(1)) act("news " + name + " " + from + " running {\"share\":" + share + "}");
+  } else if (verb == "list") {
+    list(name + " " + rest_of(in));
+  } else if (verb == "wait") {
+    std::string want, have;
+    in >> want;
+    bool least = want.back() == '+';
+    if (least) want.pop_back();
+    while ((have = counter(name)) != want && !(least && have != "none" && std::stoll(have) >= std::stoll(want))) {
+      ASSERT_LT(Clock::now(), until) << name << " is " << have;
+      usleep(5000);
+    }
+  } else if (verb == "stop") {
+    close(std::exchange(listeners_.at(name), -1));
+  } else if (verb == "signal") {
+    ASSERT_EQ(kill(program_, name == "TERM" ? SIGTERM : SIGUSR1), 0);
+  } else if (verb == "exit") {
+    int status = 0;
+    while (waitpid(program_, &status, WNOHANG) == 0) {
+      ASSERT_LT(Clock::now(), until) << "still running";
+      usleep(5000);
+    }
+    program_ = -1;
+    ASSERT_TRUE(WIFEXITED(status)) << "signal " << WTERMSIG(status);
+    ASSERT_EQ(WEXITSTATUS(status), std::stoi(name));
+  } else {
+    FAIL() << "no such verb";
+  }
+}
+
+}  // namespace keelflow::test
--- /dev/null
+++ b/tests/node/scenario.h
@@ -0,0 +1,71 @@
+// A small language for tests of the node: each line says what a client, an endpoint or discovery does or must see.
+//
+//   open NAME [progress]        connect to the node (or to its progress front)
+//   accept NAME PLACE           wait until the node connects to a stand-in: disco, box, box2 or redis
+//   send NAME TEXT              \r \n \\ as in C; at the start of TEXT, "job ID CLASS PATIENCE" and "stream ..."
+//                               stand for a whole request, "ok 202" for a whole answer, "chunk ..." for one chunk
+//   fill NAME COUNT TEXT        sends TEXT so many times
+//   expect NAME TEXT            wait until TEXT has come; what stands before it is dropped
+//   absent NAME TEXT            TEXT is not in what has come and was not dropped
+//   close NAME | reset NAME     end the connection, with FIN or with RST
+//   closed NAME                 wait until the node ends it
+//   news ID FROM STATE [JSON]   a call-back on a connection of its own, which must be answered 200
+//   list HOST:STATE[:PLACE] ... discovery tells these entries; the word "whole" before them: the whole list
+//   wait COUNTER VALUE          wait until the counter has that value (or more, with VALUE+)
+//   report ID FROM SHARE ...    a box at its usual pace: a progress call-back, a second, the next, ...
+//   stop PLACE                  the stand-in no longer listens
+//   signal NAME                 TERM or USR1 to the program
+//   exit CODE                   wait until the program has ended with that code
+//
+// Every wait has one long limit and ends as soon as its condition holds, so that a verdict does not depend on speed.
+#pragma once
+
+#include <gtest/gtest.h>
+#include <sys/types.h>
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace keelflow::test {
+
+struct Options {
+  std::string progress;         // lines for deploy/progress.toml; "listen" is set where this is not empty
+  std::string script;           // the hook
+  std::string settings;         // JSON merged over the usual settings
+  int sockets = 1024;           // the descriptor limit of the process too
+  bool store = false;           // the progress front uses the stand-in `redis`
+};
+
+class Scenario {
+ public:
+  explicit Scenario(const Options& options = {});
+  ~Scenario();
+  void play(const std::string& text);  // stops at the first line that fails
+  int port(const std::string& place) const;
+
+ private:
+  struct Line {
+    int fd = -1;
+    std::string unread;
+    bool ended = false;
+  };
+  void act(const std::string& line);
+  Line& line(const std::string& name);
+  bool receive(Line& from);  // one piece; false when the time is up
+  void send(Line& to, std::string text);
+  std::string counter(const std::string& name);
+  std::string message(std::string text) const;
+  void list(const std::string& words);
+
+  std::string folder_;
+  pid_t program_ = -1;
+  int log_ = -1;
+  std::string log_text_;
+  int node_port_ = 0, progress_port_ = 0;
+  std::map<std::string, int> listeners_, ports_;
+  std::map<std::string, Line> lines_;
+  int version_ = 1;
+};
+
+}  // namespace keelflow::test
