Refuse jobs above the connection limit, never close a connection with an unread request

Seen while reading the listener for what a full table does: beyond its limit it closed what it had accepted (node/inbound/server.cpp, Server::accept), which loses a request by the platform's rules, and it evicted "idle" connections whose request lay unread in the kernel. A scenario with 16 connections showed the second: a fresh connection was evicted and the job above the limit taken. Now jobs above the limit are refused with Retry-After, a reserve keeps call-backs coming in, and a connection counts as idle only if nothing is unread. Outbound connections are looked at in the same way before they are used again: a close that has arrived but not been handled made the request look as if it may have run.

--- a/node/inbound/platform_front.cpp
+++ b/node/inbound/platform_front.cpp
@@ -151,7 +151,15 @@
   return take_plain(connection, std::move(std::get<Job>(job)));
 }
 
+bool PlatformFront::turned_away(InboundConnection& connection) {
+  if (!connection.crowded()) return false;
+  ++counters_.requests_rejected;
+  connection.respond(503, "too many connections\n", {{"Retry-After", "1"}, {"Connection", "close"}});
+  return true;
+}
+
 std::unique_ptr<Exchange> PlatformFront::take_plain(InboundConnection& connection, Job job) {
+  if (turned_away(connection)) return nullptr;
   auto exchange = std::make_unique<PlainExchange>(engine_, connection);
   if (!exchange->take(std::move(job))) {
     ++counters_.requests_rejected;
--- a/node/inbound/platform_front.h
+++ b/node/inbound/platform_front.h
@@ -31,6 +31,8 @@
 
   std::unique_ptr<Exchange> on_request(InboundConnection& connection, HttpRequest request) override;
   void on_malformed() override { ++counters_.requests_rejected; }
+  // The limit on connections: what comes over it is refused before the Engine sees it.
+  bool turned_away(InboundConnection& connection);
   // One job, answered with a single plain answer.
   std::unique_ptr<Exchange> take_plain(InboundConnection& connection, Job job);
 
--- a/node/inbound/server.cpp
+++ b/node/inbound/server.cpp
@@ -17,6 +17,7 @@
 constexpr Duration kIdlePatience = 75s;
 constexpr Duration kFlushPatience = 30s;  // for a client to read what it was answered
 constexpr Duration kAcceptPause = 20ms;
+constexpr std::size_t kReserve = 6;  // a sixth more connections than wanted are accepted, for call-backs
 constexpr std::size_t kMostWaiting = 96 * 1024;  // of a next request that comes early
 
 std::string_view reason(int status) {
@@ -54,7 +55,8 @@
   std::string out = "HTTP/1.1 " + std::to_string(status) + " ";
   out += reason(status);
   out += "\r\n";
-  for (const auto& [name, value] : headers) out += name + ": " + value + "\r\n";
+  for (const auto& [name, value] : headers)
+    if (name != "Connection") out += name + ": " + value + "\r\n";  // that one is the connection's own to say
   return out;
 }
 
@@ -72,10 +74,13 @@
   loop_.cancel(timer_);
   timer_ = loop_.at(loop_.now() + patience, [this] {
     if (!busy_ && keep_alive_ && !parser_.idle()) respond(408, "request timed out\n", {{"Connection", "close"}});
+    if (connection_.pending() > 0) ++server_.counters_.slow_readers_closed;
     abandon();
   });
 }
 
+bool InboundConnection::crowded() const { return server_.connections_.size() > server_.most_; }
+
 void InboundConnection::on_data(std::string_view bytes) {
   if (!busy_ && !keep_alive_) return;  // answered, and closing
   waiting_ += bytes;
@@ -243,21 +248,15 @@
 // helped: idle connections make room first, and only when there are none does accepting pause.
 void Server::accept() {
   while (fd_ >= 0) {
+    if (connections_.size() >= most_ + most_ / kReserve && !free_one()) return pause();
     int fd = ::accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (fd < 0) {
       if (errno == EAGAIN) return;
       if (errno == EINTR || errno == ECONNABORTED) continue;
       if (free_one() || (on_pressure && on_pressure())) continue;
-      // The edge is used up: without this timer nobody would call again (EMFILE, ENFILE, ENOMEM).
-      ++counters_.accept_paused;
-      loop_.cancel(pause_);
-      pause_ = loop_.at(loop_.now() + kAcceptPause, [this] { accept(); });
-      return;
-    }
-    if (connections_.size() >= most_ && !free_one()) {
-      ::close(fd);
-      continue;
+      return pause();  // EMFILE, ENFILE, ENOMEM
     }
+    if (connections_.size() >= most_) free_one();
     ++counters_.connections_accepted;
     auto connection = std::make_unique<InboundConnection>(*this, loop_, front_);
     InboundConnection* raw = connection.get();
@@ -266,6 +265,13 @@
   }
 }
 
+// The edge is used up: without this timer nobody would call accept again.
+void Server::pause() {
+  ++counters_.accept_paused;
+  loop_.cancel(pause_);
+  pause_ = loop_.at(loop_.now() + kAcceptPause, [this] { accept(); });
+}
+
 bool Server::free_one() {
   InboundConnection* oldest = nullptr;
   for (auto& [raw, connection] : connections_)
--- a/node/inbound/server.h
+++ b/node/inbound/server.h
@@ -48,7 +48,9 @@
   void stream(std::string_view piece);
   void end_stream();
   std::size_t pending() const { return connection_.pending(); }
-  bool idle() const { return !busy_ && parser_.idle() && connection_.pending() == 0; }
+  bool crowded() const;  // the server has more connections than it wants: new jobs are refused
+  // Nothing begun, nothing owed, and nothing unread: a connection that is closed must not take a request with it.
+  bool idle() const { return !busy_ && parser_.idle() && connection_.pending() == 0 && connection_.quiet(); }
   TimePoint since() const { return since_; }
   void abandon();  // closes; an exchange in hand hears that its client has gone
 
@@ -100,12 +102,13 @@
   friend class InboundConnection;
   void on_ready(std::uint32_t events) override;
   void accept();
+  void pause();
   bool free_one();
   void remove(InboundConnection& connection);
 
   net::EventLoop& loop_;
   Front& front_;
-  std::size_t most_;
+  std::size_t most_;  // beyond it jobs are refused; a reserve above it keeps call-backs coming in
   Counters& counters_;
   int fd_ = -1;
   std::uint64_t registration_ = 0;
--- a/node/main.cpp
+++ b/node/main.cpp
@@ -32,7 +32,7 @@
   rlimit limit{};
   if (getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur < sockets) sockets = limit.rlim_cur;
   std::size_t usable = sockets > 64 ? sockets - 48 : sockets / 2;
-  return {usable * 6 / 10, usable / 4};
+  return {usable / 2, usable / 4};  // inbound grows by a sixth, progress takes a third of that again
 }
 
 class Node {
--- a/node/net/connection.cpp
+++ b/node/net/connection.cpp
@@ -65,6 +65,11 @@
   if (!pause && readable_) read();  // the edge came while paused and will not come again
 }
 
+bool Connection::quiet() const {
+  char one;
+  return fd_ >= 0 && ::recv(fd_, &one, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && errno == EAGAIN;
+}
+
 void Connection::on_ready(std::uint32_t events) {
   if (!connected_) {
     int error = 0;
--- a/node/net/connection.h
+++ b/node/net/connection.h
@@ -35,6 +35,7 @@
   void pause_reading(bool pause);
 
   bool open() const { return fd_ >= 0; }
+  bool quiet() const;  // open, and the peer has neither sent nor ended anything that is still unread
   bool connected() const { return connected_; }
   std::size_t pending() const { return out_.size() - out_at_; }
   std::uint64_t written() const { return written_; }  // bytes that the kernel has taken
--- a/node/outbound/client_connection.h
+++ b/node/outbound/client_connection.h
@@ -32,6 +32,7 @@
   void close() { user_ = nullptr, connection_.close(); }
 
   bool open() const { return connection_.open(); }
+  bool quiet() const { return connection_.quiet(); }
   bool connected() const { return connection_.connected(); }
   const net::Address& dial() const { return dial_; }
   Reach reach() const;  // of the exchange in hand
--- a/node/outbound/pool.cpp
+++ b/node/outbound/pool.cpp
@@ -18,7 +18,8 @@
     list.pop_back();
     --idle_count_;
     bool fresh = loop_.now() < last.since + keep_;
-    if (fresh && last.connection->open() && last.connection->dial() == dial) return std::move(last.connection);
+    // A close that has arrived but not been handled yet would make the request look as if it may have run.
+    if (fresh && last.connection->quiet() && last.connection->dial() == dial) return std::move(last.connection);
     discard(std::move(last.connection));
   }
   auto connection = std::make_unique<ClientConnection>(loop_);
--- a/tests/node/platform_test.cpp
+++ b/tests/node/platform_test.cpp
@@ -291,6 +291,52 @@
   )", options);
 }
 
+TEST(Platform, AboveItsShareOfConnectionsJobsAreRefusedAndCallBacksStillTaken) {
+  Options options;
+  options.sockets = 64;  // 16 connections from outside, and a reserve of 2
+  std::string slow;
+  for (int i = 0; i < 15; ++i) {
+    std::string name = "slow" + std::to_string(i);
+    slow += "open " + name + "\nsend " + name + " POST /price/x HTTP/1.1\\r\\n\n";
+  }
+  play(R"(
+    open c
+    send c job A price 15000
+    accept b box
+    expect b body
+    send b ok 202
+  )" + slow + R"(
+    open d
+    send d job B price 15000
+    expect d HTTP/1.1 503
+    expect d Retry-After: 1
+    closed d
+    close d
+    news A box done {"result":"served"}
+    expect c served
+  )", options);
+}
+
+TEST(Platform, AConnectionThatTheEndpointClosedIsNotUsedAgain) {
+  play(R"(
+    open c
+    send c job A sale 5000
+    accept b box
+    expect b body
+    send b ok 202
+    news A box done {"result":"a"}
+    expect c \r\n\r\na
+    close b
+    send c job B sale 5000
+    accept b2 box
+    expect b2 X-Trace-Id: B
+    send b2 ok 202
+    news B box done {"result":"b"}
+    expect c \r\n\r\nb
+    wait attempts_reset 0
+  )");
+}
+
 TEST(Discovery, PiecesOfLinesChangesAndANewAddressAreTaken) {
   play(R"(
     send disco 1\r\n\n\r\n
