--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -26,6 +26,8 @@
 constexpr double kCrowded = 0.5;     // above this crowding overdue jobs wait
 constexpr int kMaxStrikes = 3;       // doublings of that while it looks ill
 constexpr double kComeBack = 0.25;   // a refused client is asked to come back after so many usual runs
+constexpr double kShareSpan = 2000;    // ms of its share that a tenant may save up
+constexpr double kTenantLimit = 30;    // S_tenant of a job beyond its tenant's share is at most this
 constexpr double kHomes = 4;         // home workers a dispatcher has, if there are enough
 constexpr double kOverflow = 0.1;    // usual runs a job waits for a home worker before it goes elsewhere
 constexpr int kKeyProbes = 16;       // ring look-ups that order a key's workers
@@ -65,12 +67,13 @@
   Time deadline = 0, held_since = 0;
   std::uint64_t seq = 0;
   double load = 1;  // slots or memory, whichever is more
+  double size = 0;  // hint x S_tenant: what it is queued by, before B
   bool overdue = false, held = false, ended = false, streaming = false;
   std::vector<Attempt> attempts;
 };
 
 enum class Wake : std::uint8_t { deadline, overdue, late_start, reindex, dispatch, subscribe };
-using Queue = std::set<std::tuple<double, std::uint64_t, RequestId>>;  // hint, arrival, id
+using Queue = std::set<std::tuple<double, std::uint64_t, RequestId>>;  // size, arrival, id
 
 struct ClassState {
   Queue held[2];      // those that can still be in time, and the overdue
@@ -78,6 +81,11 @@
   double hint_sum = 0, hint_count = 0;
 };
 
+struct Share {
+  double left = 0;
+  Time filled = 0;
+};
+
 struct KindState {
   SampledSet pools[kPools];
   std::map<std::uint64_t, WorkerId> ring;  // ready workers by hash
@@ -100,6 +108,7 @@
   int home_ranks = 1;  // a worker is at home with so many dispatchers
   std::vector<ClassState> classes;
   std::vector<KindState> kinds;
+  std::vector<Share> shares;  // by tenant
   std::size_t held_count = 0;
   std::map<std::uint64_t, double> key_count;  // how often each key was met of late
   double key_total = 0;
@@ -118,6 +127,7 @@
     validate(s);
     classes.resize(s.classes.size());
     kinds.resize(at(s.kinds));
+    shares.resize(s.tenant_quota.size());
     for (const auto& c : s.classes)
       if (c.kind >= 0) kinds[at(c.kind)].reserved = true;
     start_delay.assign(at(s.zones), 0.0);
@@ -238,14 +248,14 @@
     r.held = true;
     r.held_since = now;
     ++held_count;
-    classes[at(r.job.cls)].held[r.overdue].emplace(r.job.hint, r.seq, r.job.request);
+    classes[at(r.job.cls)].held[r.overdue].emplace(r.size, r.seq, r.job.request);
   }
 
   void unhold(Request& r) {
     if (!r.held) return;
     r.held = false;
     --held_count;
-    classes[at(r.job.cls)].held[r.overdue].erase({r.job.hint, r.seq, r.job.request});
+    classes[at(r.job.cls)].held[r.overdue].erase({r.size, r.seq, r.job.request});
   }
 
   // Exception: a job that can no longer be in time leaves last, and not while sends meet crowding.
@@ -408,6 +418,19 @@
     std::erase_if(key_count, [](const auto& k) { return k.second < 0.3; });
   }
 
+  // The tier factor S_tenant: a tenant's share, split evenly over the dispatchers, is a bucket that fills
+  // with time. A job that finds it empty counts as larger by as much as it is worth less.
+  bool within_share(int tenant) {
+    if (tenant < 0 || at(tenant) >= shares.size() || s.over_share_worth >= 1) return true;
+    Share& share = shares[at(tenant)];
+    double rate = s.tenant_quota[at(tenant)] / s.dispatchers / 1000;
+    share.left = std::min(share.left + rate * (now - share.filled), std::max(1.0, kShareSpan * rate));
+    share.filled = now;
+    if (share.left < 1) return false;
+    share.left -= 1;
+    return true;
+  }
+
   // ---- ends of a request ----
 
   void finish(Request& r) {
@@ -455,6 +478,7 @@
     bool hinted = std::isfinite(e.hint) && e.hint > 0;
     if (hinted) classes[at(e.cls)].hint_sum += e.hint, ++classes[at(e.cls)].hint_count;
     if (!hinted) r.job.hint = mean_hint(e.cls);
+    r.size = r.job.hint * (within_share(e.tenant) ? 1 : std::min(kTenantLimit, 1 / s.over_share_worth));
     r.load = std::clamp(std::max({1.0, e.slots, e.memory}), 1.0, 1e6);
     r.seq = next_seq++;
     r.deadline = now + (std::isfinite(e.ttl_ms) ? e.ttl_ms : 0) - s.tick_ms;
--- a/tests/mechanism_test.cpp
+++ b/tests/mechanism_test.cpp
@@ -41,6 +41,34 @@
   EXPECT_DOUBLE_EQ(b.d.calibration(0), 1.0);
 }
 
+TEST(HeldQueue, AJobBeyondItsTenantsShareCountsAsLargerByAsMuchAsItIsWorthLess) {
+  for (double worth : {0.05, 1.0}) {
+    Settings s = basic_settings();
+    s.tenant_quota = {1, 1};  // a job a second each
+    s.over_share_worth = worth;
+    Bench b(s);
+    b.workers(1);
+    auto arrive = [&](RequestId id, int tenant, double hint) {
+      Arrival a;
+      a.request = id;
+      a.tenant = tenant;
+      a.hint = hint;
+      a.ttl_ms = 10000;
+      b.play(a);
+    };
+    arrive(1, 0, 100);
+    arrive(2, 0, 100);
+    arrive(3, 0, 100);  // held, and beyond the share
+    arrive(4, 1, 300);  // held, larger, and within
+    ASSERT_EQ(b.sends.size(), 2u);
+    b.play(Started{1, 0});
+    b.now += 5;  // before the other one counts as late to start
+    b.outcome(1, 0, Result::ok, true);
+    ASSERT_GE(b.sends.size(), 3u);
+    EXPECT_EQ(b.sends[2].request, worth < 1 ? 4u : 3u);
+  }
+}
+
 TEST(HeldQueue, ReleasesTheSmallestBudgetFirst) {
   Bench b(basic_settings());
   for (auto [id, hint] : std::map<RequestId, double>{{1, 300}, {2, 100}, {3, 200}, {4, 100}})
--- a/tests/node/platform_test.cpp
+++ b/tests/node/platform_test.cpp
@@ -175,6 +175,8 @@
     accept b box
     expect b body
     send b ok 202
+    # answered after the 202 was read: only then does a DELETE come on the same connection
+    news A box started
     fill c 4000 GET /up HTTP/1.1\r\n\r\n
     reset c
     expect b DELETE /jobs/A
@@ -187,10 +189,11 @@
 TEST(Platform, AJobWithoutAnAnswerIsFailedByItsDeadlineAndCalledBack) {
   play(R"(
     open c
-    send c job A sale 300
+    send c job A sale 1000
     accept b box
     expect b body
     send b ok 202
+    news A box started
     expect c HTTP/1.1 504
     expect b DELETE /jobs/A
     send b ok 200
--- a/tests/node/progress_test.cpp
+++ b/tests/node/progress_test.cpp
@@ -80,7 +80,7 @@
 TEST(Progress, UntilTheFirstEventRefusalsAndFailuresArePlainStatuses) {
   play(R"(
     open c progress
-    send c stream L sale 200
+    send c stream L sale 1000
     accept b box
     expect b body
     send b ok 202
