--- a/node/core/engine.cpp
+++ b/node/core/engine.cpp
@@ -73,15 +73,20 @@
                 (it->second.expired || timers_.now() + 2 * limits_.tick >= it->second.deadline);
     return finish(a->request, {.kind = FinalAnswer::Kind::failed, .timed_out = late});
   }
-  if (const auto* a = std::get_if<reedlb::SetTimer>(&action)) {
-    // Events come no more often than once a tick, so a timer rings on the next multiple of it.
-    TimePoint when = std::max(clock_.at(a->when), timers_.now());
-    if (limits_.tick > Duration::zero()) {
-      Duration past = when.time_since_epoch() % limits_.tick;
-      if (past > Duration::zero()) when += limits_.tick - past;
-    }
-    timers_.at(when, [this, name = a->name] { post(reedlb::Timer{name}); });
+  if (const auto* a = std::get_if<reedlb::SetTimer>(&action))
+    timers_.at(std::max(clock_.at(a->when), last_bell_ + limits_.tick), [this, name = a->name] { ring(name); });
+}
+
+// Timers ring no more often than once a tick, but on time where none has rung just before. Rounding them up to a
+// grid of ticks used up the tick that the module leaves for an answer to travel before its client gives up.
+void Engine::ring(std::uint64_t name) {
+  TimePoint now = timers_.now(), allowed = last_bell_ + limits_.tick;
+  if (now < allowed) {
+    timers_.at(allowed, [this, name] { ring(name); });
+    return;
   }
+  last_bell_ = now;
+  post(reedlb::Timer{name});
 }
 
 std::optional<RequestId> Engine::take(Job job, Asker& asker) {
--- a/node/core/engine.h
+++ b/node/core/engine.h
@@ -56,6 +56,7 @@
   };
 
   void post(reedlb::Event event);
+  void ring(std::uint64_t name);
   void carry_out(const reedlb::Action& action);
   void send(const reedlb::Send& send);
   void recall(AttemptRef ref, bool timed_out);
@@ -75,6 +76,7 @@
   std::unordered_map<std::string, RequestId> by_name_;  // requests that are not answered yet
   std::deque<reedlb::Event> inbox_;
   bool pumping_ = false;
+  TimePoint last_bell_{};
   RequestId next_id_ = 1;
   std::size_t attempts_out_ = 0;
 };
--- a/node/core/time.h
+++ b/node/core/time.h
@@ -20,8 +20,11 @@
  public:
   UnixClock() : steady_(Clock::now()), unix_(std::chrono::system_clock::now().time_since_epoch()) {}
   double unix_ms(TimePoint t) const { return Milliseconds(unix_ + (t - steady_)).count(); }
+  // The first moment whose unix_ms is not under that. A double of today's size resolves 0.25 us, so that a timer
+  // set without a microsecond on top could ring just before its time and be put off by a tick.
   TimePoint at(double unix_ms) const {
-    return steady_ + std::chrono::duration_cast<Duration>(Milliseconds(unix_ms) - Milliseconds(unix_));
+    return steady_ + std::chrono::duration_cast<Duration>(Milliseconds(unix_ms) - Milliseconds(unix_)) +
+           std::chrono::microseconds(1);
   }
 
  private:
--- a/tests/node/parts_test.cpp
+++ b/tests/node/parts_test.cpp
@@ -163,6 +163,72 @@
   EXPECT_FALSE(timers.next());
 }
 
+// The Engine with a clock of the test's own; no endpoint is ever there.
+struct Idle final : EndpointPort, DestinationPort, TimerPort, Asker {
+  void start(AttemptRef, WorkerId, const Job&, TimePoint) override {}
+  void give_up(AttemptRef) override {}
+  void probe(WorkerId) override {}
+  void subscribe() override {}
+  TimePoint now() const override { return time; }
+  TimerId at(TimePoint when, std::function<void()> task) override { return timers.add(when, std::move(task)); }
+  void cancel(TimerId id) override { timers.cancel(id); }
+  void on_final(FinalAnswer answer) override { kind = answer.kind, answered.push_back(time); }
+  void advance(TimePoint to) {
+    while (timers.next() && *timers.next() <= to) time = std::max(time, *timers.next()), timers.run(time);
+    time = to;
+  }
+  TimePoint time = Clock::now();
+  net::TimerQueue timers;
+  FinalAnswer::Kind kind{};
+  std::vector<TimePoint> answered;
+};
+
+TEST(Engine, AnswersATickBeforeTheClientGivesUpWhateverTheMomentOfArrival) {
+  using namespace std::chrono_literals;
+  for (auto offset : {0us, 700us, 1900us, 3999us}) {
+    Idle idle;
+    UnixClock clock;
+    Counters counters;
+    reedlb::Settings settings;
+    settings.classes.resize(1);
+    settings.tick_ms = 4;
+    Engine engine(settings, 1, {100, 4ms}, idle, clock, counters);
+    engine.connect(idle, idle);
+    idle.advance(idle.time + offset);
+    TimePoint deadline = idle.time + 100ms;
+    Job job;
+    job.id = "A";
+    job.patience = 100ms;
+    ASSERT_TRUE(engine.take(job, idle));
+    EXPECT_FALSE(engine.take(job, idle));
+    idle.advance(deadline + 1s);
+    ASSERT_EQ(idle.answered.size(), 1u);
+    EXPECT_EQ(idle.kind, FinalAnswer::Kind::refused);
+    EXPECT_LE(idle.answered[0], deadline - 3900us);
+    EXPECT_EQ(engine.open_requests(), 0u);
+  }
+}
+
+TEST(Engine, ARequestWithNoTimeLeftIsAnsweredBeforeTakeReturns) {
+  Idle idle;
+  UnixClock clock;
+  Counters counters;
+  reedlb::Settings settings;
+  settings.classes.resize(1);
+  Engine engine(settings, 1, {1, {}}, idle, clock, counters);
+  engine.connect(idle, idle);
+  Job job;
+  job.id = "A";
+  ASSERT_TRUE(engine.take(job, idle));
+  EXPECT_EQ(idle.answered.size(), 1u);
+  job.patience = std::chrono::seconds(1);
+  ASSERT_TRUE(engine.take(job, idle));
+  job.id = "B";  // one more than may be open
+  ASSERT_TRUE(engine.take(job, idle));
+  EXPECT_EQ(idle.answered.size(), 2u);
+  EXPECT_EQ(counters.answers_refused, 2u);
+}
+
 TEST(Hook, TheSandboxHasNoWayOutAndStaysWithinItsLimits) {
   for (const char* body : {"return io.open('/etc/passwd')", "return os.getenv('HOME')", "return load('return 1')()",
                            "return require('os')", "return pcall(error)", "return coroutine.create(print)",
