--- a/include/reedlb/dispatcher.h
+++ b/include/reedlb/dispatcher.h
@@ -161,12 +161,22 @@
 using Action = std::variant<Send, Refuse, Fail, Recall, SetTimer, Probe, Subscribe>;
 using Actions = std::vector<Action>;
 
+// What of their shares tenants have left: a bucket for each. Dispatchers that split one node's traffic between them
+// are given the same one, so that a tenant's share is the same however its requests are split.
+struct TenantShares {
+  struct Bucket {
+    double left = 0;
+    Time filled = 0;
+  };
+  std::vector<Bucket> buckets;
+};
+
 void validate(const Settings& settings);  // throws std::invalid_argument on impossible settings
 
 class Dispatcher {
  public:
-  Dispatcher(const Settings& settings,
-             std::uint64_t seed);  // throws std::invalid_argument on impossible settings
+  // Throws std::invalid_argument on impossible settings. Without `shares` it keeps tenants' shares by itself.
+  Dispatcher(const Settings& settings, std::uint64_t seed, std::shared_ptr<TenantShares> shares = nullptr);
   ~Dispatcher();
   Dispatcher(Dispatcher&&) noexcept;
   Dispatcher& operator=(Dispatcher&&) noexcept;
--- /dev/null
+++ b/lab/boxes.cpp
@@ -0,0 +1,249 @@
+#include "boxes.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace keelflow::lab {
+namespace {
+
+using namespace std::chrono_literals;
+constexpr Duration kCallPause = 50ms;
+constexpr int kMostCalls = 10;
+constexpr std::size_t kMostConnections = 256;  // that a box holds for one node
+constexpr std::string_view kJobs = "/jobs/";
+
+double unix_now_ms() { return Milliseconds(std::chrono::system_clock::now().time_since_epoch()).count(); }
+
+}  // namespace
+
+class Box::Port final : public Front {
+ public:
+  Port(Box& box, std::size_t node) : box_(box), node_(node), server_(box.world_.loop, *this, kMostConnections, box.world_.counters) {}
+  std::unique_ptr<Exchange> on_request(InboundConnection& connection, HttpRequest request) override {
+    box_.take(node_, connection, request);
+    return nullptr;
+  }
+  Server& server() { return server_; }
+
+ private:
+  Box& box_;
+  std::size_t node_;
+  Server server_;
+};
+
+// One call at a time, each until it is answered or has failed ten times.
+class Box::Caller final : ClientConnection::User {
+ public:
+  Caller(World& world, std::size_t node) : world_(world), node_(node) {}
+  ~Caller() override {
+    world_.loop.cancel(timer_);
+    drop();
+  }
+
+  void tell(const nlohmann::json& news) {
+    std::string body = news.dump();
+    waiting_.push_back("POST /_jobs/news HTTP/1.1\r\nHost: node\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    next();
+  }
+
+ private:
+  void next() {
+    if (busy_ || waiting_.empty() || node_ >= world_.nodes.size()) return;
+    busy_ = true;
+    if (!connection_ || !connection_->open() || connection_->dial() != world_.nodes[node_]) {
+      drop();
+      connection_ = std::make_unique<ClientConnection>(world_.loop);
+      connection_->attach(this);
+      if (!connection_->connect(world_.nodes[node_])) on_broken();
+      return;
+    }
+    connection_->attach(this);
+    connection_->send(waiting_.front());
+  }
+  void on_connected() override { connection_->send(waiting_.front()); }
+  void on_head(const net::Head&) override {}
+  void on_complete(bool reusable) override {
+    done();
+    if (!reusable) drop();
+    next();
+  }
+  void on_broken() override {
+    drop();
+    if (++tries_ >= kMostCalls) done();
+    busy_ = true;
+    timer_ = world_.loop.at(world_.loop.now() + kCallPause, [this] {
+      busy_ = false;
+      next();
+    });
+  }
+  void done() {
+    waiting_.pop_front();
+    tries_ = 0;
+    busy_ = false;
+  }
+  void drop() {
+    if (connection_) connection_->close(), world_.loop.dispose(std::move(connection_));
+  }
+
+  World& world_;
+  std::size_t node_;
+  std::deque<std::string> waiting_;
+  std::unique_ptr<ClientConnection> connection_;
+  bool busy_ = false;
+  int tries_ = 0;
+  TimerId timer_ = 0;
+};
+
+Box::Box(World& world, const BoxPlan& plan, std::string host, std::size_t nodes)
+    : world_(world), plan_(plan), host_(std::move(host)) {
+  net::Address any;
+  any.in.sin_family = AF_INET;
+  any.in.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  dials_.assign(nodes, any);
+  for (std::size_t i = 0; i < nodes; ++i) callers_.push_back(std::make_unique<Caller>(world_, i));
+  listen();
+  if (!plan.cold) return;
+  born_ = world_.loop.now();
+  born_unix_ms_ = unix_now_ms();
+}
+
+Box::~Box() {
+  for (auto& [id, job] : jobs_) world_.loop.cancel(job.timer);
+}
+
+void Box::listen() {
+  for (std::size_t i = 0; i < dials_.size(); ++i) {
+    ports_.push_back(std::make_unique<Port>(*this, i));
+    ports_.back()->server().listen(dials_[i]);
+    dials_[i] = ports_.back()->server().address();
+  }
+  up_ = true;
+}
+
+double Box::speed() const {
+  if (born_ == TimePoint{}) return plan_.speed;
+  double warm = std::clamp(to_ms(world_.loop.now() - born_) / to_ms(world_.cold), 0.0, 1.0);
+  return plan_.speed * (world_.cold_from + (1 - world_.cold_from) * warm);
+}
+
+// Whatever reaches a cold box presses on it, also what it turns away.
+bool Box::pushed_over(double work_ms) {
+  TimePoint now = world_.loop.now();
+  if (born_ == TimePoint{} || now >= born_ + world_.cold) return false;
+  while (!sent_.empty() && sent_.front().first < now - world_.fall) sent_.pop_front();
+  sent_.emplace_back(now, work_ms);
+  double sum = 0;
+  for (const auto& [when, work] : sent_) sum += work;
+  return sum > world_.fall_multiple * speed() * plan_.cores * to_ms(world_.fall);
+}
+
+void Box::take(std::size_t node, InboundConnection& connection, const HttpRequest& request) {
+  std::string_view path = request.head.path();
+  if (request.head.method == "DELETE" && path.starts_with(kJobs)) {
+    forget(std::string(path.substr(kJobs.size())));
+    return connection.respond(200, "");
+  }
+  std::string id(request.head.find("X-Trace-Id"));
+  if (request.head.method != "POST" || id.empty()) return connection.respond(404, "");
+  world_.rules.attempt_began(id, host_);
+  if (health_ == Health::draining && world_.loop.now() > drained_ + world_.drain_grace) world_.rules.drained_box_was_sent(id, host_);
+  auto work = world_.works.find(id);
+  if (work == world_.works.end()) return connection.respond(400, "");
+  if (pushed_over(work->second.core_ms)) {
+    fallen_ = true;
+    world_.rules.cold_box_fell(host_);
+    world_.loop.defer([this] { crash(); });
+  }
+  bool full = running_ >= plan_.cores && static_cast<double>(queue_.size()) >= plan_.queue;
+  if (full || health_ != Health::ready) {
+    world_.rules.attempt_over(id);
+    return connection.respond(503, "", {{"X-Never-Ran", "1"}});
+  }
+  connection.respond(202, "");
+  jobs_[id] = {id, node};
+  queue_.push_back(id);
+  start_next();
+}
+
+void Box::start_next() {
+  while (running_ < plan_.cores && !queue_.empty()) {
+    std::string id = queue_.front();
+    queue_.pop_front();
+    if (jobs_.contains(id)) start(id);
+  }
+}
+
+void Box::start(const std::string& id) {
+  Job& job = jobs_.at(id);
+  const Work& work = world_.works.at(id);
+  job.started = true;
+  ++running_;
+  callers_[job.node]->tell({{"id", id}, {"from", host_}, {"state", "started"}});
+  Duration lasts = from_ms(work.core_ms / speed());
+  if (work.effect == reedlb::Effect::keyed) {  // a repeat is dropped: it is answered with what the first one made
+    auto before = world_.served[group()].find(work.key);
+    if (before != world_.served[group()].end() && world_.loop.now() - before->second.second < work.window) lasts = 1ms;
+  }
+  job.timer = world_.loop.at(world_.loop.now() + lasts, [this, id] { end(id); });
+}
+
+void Box::end(const std::string& id) {
+  Job job = jobs_.at(id);
+  const Work& work = world_.works.at(id);
+  TimePoint now = world_.loop.now();
+  std::string result = id + " by " + host_;
+  auto& served = world_.served[group()];
+  auto before = served.find(work.key);
+  bool repeat = work.effect == reedlb::Effect::keyed && before != served.end() && now - before->second.second < work.window;
+  if (work.effect == reedlb::Effect::keyed && !repeat) served[work.key] = {result, now};
+  ++runs_;
+  world_.rules.ran(id, host_, group(), result, now);
+  world_.rules.attempt_over(id);
+  jobs_.erase(id);
+  --running_;
+  callers_[job.node]->tell({{"id", id}, {"from", host_}, {"state", "done"}, {"result", result}});
+  start_next();
+}
+
+void Box::forget(const std::string& id) {
+  auto it = jobs_.find(id);
+  if (it == jobs_.end()) return;
+  world_.loop.cancel(it->second.timer);
+  running_ -= it->second.started;
+  // Begun is as good as done where it must not run twice.
+  if (it->second.started) world_.rules.ran(id, host_, group(), "", world_.loop.now());
+  world_.rules.attempt_over(id);
+  jobs_.erase(it);
+  std::erase(queue_, id);
+  start_next();
+}
+
+void Box::crash() {
+  if (!up_) return;
+  up_ = false;
+  health_ = Health::gone;
+  ports_.clear();  // with all connections
+  while (!jobs_.empty()) {
+    std::string id = jobs_.begin()->first;
+    queue_.clear();
+    forget(id);
+  }
+}
+
+void Box::revive() {
+  if (up_) return;
+  born_ = world_.loop.now();
+  born_unix_ms_ = unix_now_ms();
+  sent_.clear();
+  fallen_ = false;
+  health_ = Health::ready;
+  listen();
+}
+
+void Box::drain(bool on) {
+  if (!up_) return;
+  health_ = on ? Health::draining : Health::ready;
+  if (on) drained_ = world_.loop.now();
+}
+
+}  // namespace keelflow::lab
--- /dev/null
+++ b/lab/boxes.h
@@ -0,0 +1,98 @@
+// Stand-in boxes, many in one process, which behave as the platform's protocol says: they answer 202, tell starts,
+// progress and ends by call-backs that they repeat until answered, turn away what their queue cannot hold, drop a keyed
+// repeat that their group has served within its window, start cold, and fall over when pushed.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "inbound/server.h"
+#include "outbound/client_connection.h"
+#include "plan.h"
+#include "rules.h"
+
+namespace keelflow::lab {
+
+struct Work {  // what a box learns of a job beyond its request: the stand-ins' own knowledge
+  std::string key;
+  reedlb::Effect effect = reedlb::Effect::safe;
+  Duration window{};
+  double core_ms = 10;  // on a standard core
+};
+
+struct World {  // what the stand-ins share
+  net::EventLoop& loop;
+  Counters& counters;
+  Rules& rules;
+  Duration cold{};
+  double cold_from = 1, fall_multiple = 4;
+  Duration fall = std::chrono::seconds(2), drain_grace = std::chrono::milliseconds(500 + 50);
+  std::unordered_map<std::string, Work> works;  // by request id
+  // What groups have served of keyed work: key, then the result and when.
+  std::unordered_map<std::string, std::unordered_map<std::string, std::pair<std::string, TimePoint>>> served;
+  std::vector<net::Address> nodes;
+};
+
+class Box {
+ public:
+  enum class Health : std::uint8_t { ready, draining, gone };
+
+  Box(World& world, const BoxPlan& plan, std::string host, std::size_t nodes);
+  ~Box();
+
+  const std::string& host() const { return host_; }
+  const std::string& group() const { return plan_.site; }
+  net::Address dial(std::size_t node) const { return dials_[node]; }
+  Health health() const { return health_; }
+  bool up() const { return up_; }
+  double born_unix_ms() const { return born_unix_ms_; }
+  int block() const { return 1; }
+
+  void slow(double factor) { plan_.speed /= factor; }
+  void crash();   // the process dies: connections break, jobs are lost
+  void revive();  // it starts again, cold
+  void drain(bool on);
+  bool fallen() const { return fallen_; }
+  std::uint64_t runs() const { return runs_; }
+
+ private:
+  struct Job {
+    std::string id;
+    std::size_t node;
+    bool started = false;
+    TimerId timer = 0;
+  };
+  class Port;    // where one node reaches this box
+  class Caller;  // its call-backs to one node
+
+  void listen();
+  void take(std::size_t node, InboundConnection& connection, const HttpRequest& request);
+  bool pushed_over(double work_ms);
+  void start_next();
+  void start(const std::string& id);
+  void end(const std::string& id);
+  void forget(const std::string& id);
+  double speed() const;
+
+  World& world_;
+  BoxPlan plan_;
+  std::string host_;
+  std::vector<net::Address> dials_;
+  std::vector<std::unique_ptr<Port>> ports_;
+  std::vector<std::unique_ptr<Caller>> callers_;
+  Health health_ = Health::ready;
+  bool up_ = false, fallen_ = false;
+  TimePoint born_{}, drained_{};
+  double born_unix_ms_ = 0;
+  int running_ = 0;
+  std::uint64_t runs_ = 0;
+  std::unordered_map<std::string, Job> jobs_;
+  std::deque<std::string> queue_;
+  std::deque<std::pair<TimePoint, double>> sent_;  // while cold: work in core milliseconds
+};
+
+}  // namespace keelflow::lab
--- /dev/null
+++ b/lab/crowd.cpp
@@ -0,0 +1,200 @@
+#include "crowd.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <random>
+
+namespace keelflow::lab {
+namespace {
+
+using namespace std::chrono_literals;
+constexpr Duration kSlack = 50ms;     // the protocol's, on a deadline
+constexpr Duration kAtOnce = 1ms;     // a rude client's pause, and one's that was given no advice
+constexpr std::size_t kMostIdle = 400;
+
+}  // namespace
+
+class Crowd::Call final : ClientConnection::User {
+ public:
+  Call(Crowd& owner, Job job, std::string id, std::size_t node) : owner_(owner), job_(std::move(job)), id_(std::move(id)), node_(node) {}
+  ~Call() override { owner_.world_.loop.cancel(timer_); }
+
+  void begin() {
+    const ClassPlan& cls = owner_.plan_.classes[static_cast<std::size_t>(job_.cls)];
+    deadline_ = owner_.world_.loop.now() + cls.patience;
+    timer_ = owner_.world_.loop.at(deadline_ + kSlack, [this] { silent(); });
+    connection_ = owner_.pool_.take(static_cast<WorkerId>(node_), owner_.world_.nodes[node_]);
+    if (!connection_) return;  // the deadline ends it
+    connection_->attach(this);
+    if (connection_->connected()) on_connected();
+  }
+  const Job& job() const { return job_; }
+  const std::string& id() const { return id_; }
+
+ private:
+  void on_connected() override {
+    const ClassPlan& cls = owner_.plan_.classes[static_cast<std::size_t>(job_.cls)];
+    std::string request = "POST /" + cls.name + "/x HTTP/1.1\r\nHost: app.svc\r\nX-Trace-Id: " + id_ + "\r\nX-Customer: t" +
+                          std::to_string(job_.tenant) + "\r\nX-Object: " + job_.object + "\r\nX-Expires-In-Ms: " +
+                          std::to_string(std::chrono::floor<std::chrono::milliseconds>(cls.patience).count()) +
+                          "\r\nX-Size-Hint: " + std::to_string(static_cast<std::int64_t>(1000 * job_.hint_ms)) +
+                          "\r\nIdempotency-Key: " + job_.key + (job_.tries > 0 ? "\r\nX-Second-Try: 1" : "") + "\r\nContent-Length: 2\r\n\r\nhi";
+    connection_->send(request);
+  }
+  void on_head(const net::Head& head) override {
+    status_ = head.status;
+    double seconds = 0;
+    std::string_view after = head.find("Retry-After");
+    std::from_chars(after.data(), after.data() + after.size(), seconds);
+    retry_after_ = from_ms(1000 * seconds);
+  }
+  void on_body(std::string_view bytes) override { body_ += bytes; }
+  void on_complete(bool reusable) override {
+    if (reusable) owner_.pool_.give_back(static_cast<WorkerId>(node_), std::move(connection_));
+    finish(status_);
+  }
+  // Between requests a node may close a connection; one that crosses it on the way is sent once more.
+  void on_broken() override {
+    Reach reach = connection_->reach();
+    owner_.pool_.discard(std::move(connection_));
+    bool again = connection_tries_++ == 0 && status_ == 0 && owner_.world_.loop.now() < deadline_;
+    if (!again) return finish(0);
+    (void)reach;
+    connection_ = owner_.pool_.take(static_cast<WorkerId>(node_), owner_.world_.nodes[node_], true);
+    if (!connection_) return;
+    connection_->attach(this);
+  }
+  void silent() {
+    owner_.pool_.discard(std::move(connection_));
+    finish(0);
+  }
+  void finish(int status) {
+    owner_.world_.loop.cancel(timer_);
+    if (status == 0) owner_.world_.rules.unanswered(id_);
+    else owner_.world_.rules.answered(id_, status, body_, owner_.world_.loop.now() <= deadline_ + kSlack);
+    owner_.over(*this, status, body_, retry_after_);
+  }
+
+  Crowd& owner_;
+  Job job_;
+  std::string id_, body_;
+  std::size_t node_;
+  TimePoint deadline_;
+  TimerId timer_ = 0;
+  std::unique_ptr<ClientConnection> connection_;
+  int status_ = 0, connection_tries_ = 0;
+  Duration retry_after_{};
+};
+
+Crowd::Crowd(World& world, const Plan& plan, std::uint64_t seed)
+    : world_(world), plan_(plan), random_(seed), pool_(world.loop, 3s, kMostIdle, world.counters), figures_(plan.classes.size()),
+      left_(static_cast<std::size_t>(plan.nodes)),
+      latencies_(boost::histogram::make_histogram(boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>(400, 0.5, 60'000))) {
+  for (const ClassPlan& c : plan.classes) share_sum_ += c.share;
+}
+
+Crowd::~Crowd() { world_.loop.cancel(timer_); }
+
+void Crowd::begin() {
+  began_ = world_.loop.now();
+  next();
+}
+
+void Crowd::stop() {
+  stopped_ = true;
+  world_.loop.cancel(timer_);
+}
+
+void Crowd::next() {
+  double gap_s = std::exponential_distribution<double>(plan_.load * factor_)(random_);
+  timer_ = world_.loop.at(world_.loop.now() + from_ms(1000 * gap_s), [this] {
+    Job job;
+    double at = std::uniform_real_distribution<double>(0, share_sum_)(random_);
+    while (at >= plan_.classes[static_cast<std::size_t>(job.cls)].share && job.cls + 1 < static_cast<int>(plan_.classes.size()))
+      at -= plan_.classes[static_cast<std::size_t>(job.cls++)].share;
+    const ClassPlan& cls = plan_.classes[static_cast<std::size_t>(job.cls)];
+    job.key = "k" + std::to_string(++last_);
+    char object[20];
+    std::snprintf(object, sizeof object, "%x", 1 + random_(static_cast<std::uint32_t>(plan_.objects)));
+    job.object = object;
+    job.tenant = static_cast<int>(random_(static_cast<std::uint32_t>(plan_.tenants)));
+    double usual = to_ms(cls.run);
+    job.core_ms = usual * std::lognormal_distribution<double>(-cls.spread * cls.spread / 2, cls.spread)(random_);
+    job.hint_ms = job.core_ms * std::lognormal_distribution<double>(0, 0.2)(random_);
+    job.rude = std::bernoulli_distribution(plan_.rude)(random_);
+    job.first = world_.loop.now();
+    ClassFigures& f = figures_[static_cast<std::size_t>(job.cls)];
+    ++f.jobs;
+    f.worth_asked += cls.value;
+    auto second = static_cast<std::size_t>(std::chrono::floor<std::chrono::seconds>(job.first - began_).count());
+    if (seconds_.size() <= second) seconds_.resize(second + 1);
+    seconds_[second].first += cls.value;
+    ask(std::move(job));
+    if (!stopped_) next();
+  });
+}
+
+void Crowd::ask(Job job) {
+  const ClassPlan& cls = plan_.classes[static_cast<std::size_t>(job.cls)];
+  std::string id = job.key + "." + std::to_string(job.tries);
+  std::size_t node = random_(static_cast<std::uint32_t>(plan_.nodes));
+  for (std::size_t i = 0; i < left_.size() && left_[node]; ++i) node = (node + 1) % left_.size();
+  ++figures_[static_cast<std::size_t>(job.cls)].tries;
+  world_.works[id] = {job.key, cls.effect, cls.window, job.core_ms};
+  world_.rules.asked(id, job.key, cls.effect, cls.window);
+  auto call = std::make_unique<Call>(*this, std::move(job), std::move(id), node);
+  Call* raw = call.get();
+  calls_.emplace(raw, std::move(call));
+  raw->begin();
+}
+
+void Crowd::over(Call& call, int status, const std::string&, Duration retry_after) {
+  Job job = call.job();
+  const ClassPlan& cls = plan_.classes[static_cast<std::size_t>(job.cls)];
+  ClassFigures& f = figures_[static_cast<std::size_t>(job.cls)];
+  retire(call);
+  double elapsed = to_ms(world_.loop.now() - job.first);
+  if (status == 200) {
+    ++f.served;
+    latencies_(elapsed);
+    if (elapsed > to_ms(cls.target) + cls.stretch * job.core_ms) return;
+    ++f.in_time;
+    f.worth_in_time += cls.value;
+    seconds_[static_cast<std::size_t>(std::chrono::floor<std::chrono::seconds>(job.first - began_).count())].second += cls.value;
+    return;
+  }
+  bool refused = status == 503 || status == 429;
+  ++(status == 0 ? f.silent : refused ? f.refused : f.failed);
+  bool may = refused || (status != 0 && cls.effect != reedlb::Effect::unsafe);
+  if (!may || job.tries >= cls.retries || (stopped_ && elapsed > to_ms(cls.patience))) return;
+  ++job.tries;
+  ++retries_;
+  Duration pause = job.rude || retry_after <= Duration::zero() ? kAtOnce : retry_after;
+  world_.loop.at(world_.loop.now() + pause, [this, job] {
+    --retries_;
+    ask(job);
+  });
+}
+
+void Crowd::retire(Call& call) {
+  auto it = calls_.find(&call);
+  world_.loop.dispose(std::move(it->second));  // it is calling us
+  calls_.erase(it);
+}
+
+double Crowd::latency(double share) const {
+  double total = 0, sum = 0;
+  for (double count : latencies_) total += count;
+  for (int i = 0; i < latencies_.axis().size(); ++i)
+    if ((sum += latencies_.at(i)) >= share * total && total > 0) return latencies_.axis().bin(i).upper();
+  return 0;
+}
+
+std::uint64_t Crowd::jobs() const {
+  std::uint64_t sum = 0;
+  for (const ClassFigures& f : figures_) sum += f.jobs;
+  return sum;
+}
+
+}  // namespace keelflow::lab
--- /dev/null
+++ b/lab/experiments/move-equal-pools.sexp
@@ -0,0 +1,20 @@
+; Equal pools, and traffic jumps to 2.4 times in the middle of the move. It must go on to its end.
+(experiment move-equal-pools
+  (nodes 2) (load 60) (lasts 45s)
+  (class price-check (effect safe) (target 100ms) (stretch 2) (run 40ms) (share 6) (value 1))
+  (class hold-copy (effect keyed) (window 7500ms) (target 150ms) (stretch 2) (run 60ms) (share 3) (value 2))
+  (class close-sale (effect unsafe) (target 200ms) (stretch 2) (run 120ms) (share 1) (value 4))
+  (boxes old (count 4) (cores 2))
+  (boxes new (count 4) (cores 2))
+  (settings
+    (pool new (host "new"))
+    (pool old)
+    (route all (to (old 100) (new 0)) (rehome yes))
+    (move boxes (route all) (from old) (to new) (steps 25 50 100) (least-time 4s) (least-answers 40) (worse 0.1)))
+  (at 2s (command "start boxes"))
+  (at 8s (load 2.4))
+  (at 18s (load 1))
+  (expect rules = 0)
+  (expect bad-ends = 0)
+  (expect undone = 0)
+  (expect done = 2))
--- /dev/null
+++ b/lab/experiments/move-slow-pool.sexp
@@ -0,0 +1,20 @@
+; The new pool is secretly slower. The move must stop and reverse within the first step.
+(experiment move-slow-pool
+  (vary slow 1.5 2 4)
+  (nodes 2) (load 150) (lasts 20s)
+  (class price-check (effect safe) (target 40ms) (stretch 1.4) (run 60ms) (share 6) (value 1))
+  (class hold-copy (effect keyed) (window 7500ms) (target 50ms) (stretch 1.4) (run 90ms) (share 3) (value 2))
+  (class close-sale (effect unsafe) (target 60ms) (stretch 1.4) (run 180ms) (share 1) (value 4))
+  (boxes old (count 6) (cores 6))
+  (boxes new (count 6) (cores 6))
+  (settings
+    (pool new (host "new"))
+    (pool old)
+    (route all (to (old 100) (new 0)) (rehome yes))
+    (move boxes (route all) (from old) (to new) (steps 10 25 50 100) (least-time 5s) (least-answers 40)))
+  (at 0s (slow new $slow))
+  (at 2s (command "start boxes"))
+  (expect rules = 0)
+  (expect bad-ends = 0)
+  (expect undone = 2)
+  (expect undo-step = 1))
--- /dev/null
+++ b/lab/nodes.cpp
@@ -0,0 +1,137 @@
+#include "nodes.h"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+#include <thread>
+
+#include "client.h"
+#include "config/config.h"
+
+namespace keelflow::lab {
+namespace {
+
+using namespace std::chrono_literals;
+using nlohmann::json;
+constexpr auto kStartLimit = 10s;
+
+const char* word(reedlb::Effect effect) {
+  return effect == reedlb::Effect::safe ? "safe" : effect == reedlb::Effect::keyed ? "keyed" : "unsafe";
+}
+
+// The platform's JSON for one node.
+json platform_settings(const Plan& plan, int number) {
+  json classes = json::array(), stretch = json::array(), tenants = json::array(), sites = json::array();
+  for (const ClassPlan& c : plan.classes) {
+    classes.push_back({{"name", c.name}, {"effect", word(c.effect)}, {"key_scope", "zone"}, {"dedup_window_ms", to_ms(c.window)},
+                       {"target_ms", to_ms(c.target)}, {"value", c.value}});
+    stretch.push_back(c.stretch);
+  }
+  for (int i = 0; i < static_cast<int>(plan.tenants); ++i) tenants.push_back({{"name", "t" + std::to_string(i)}, {"quota_per_s", 10 * plan.load}});
+  for (const BoxPlan& b : plan.boxes)
+    if (std::find(sites.begin(), sites.end(), json(b.site)) == sites.end()) sites.push_back(b.site);
+  return {{"balancers", static_cast<int>(plan.nodes)}, {"rank", number}, {"locality", 0}, {"dcs", sites}, {"kinds", {"std"}},
+          {"classes", classes}, {"tenants", tenants}, {"granularity_ms", 4.0}, {"registry_mode", "ask"},
+          {"family_info", {{"tells_start", true}, {"class_stretch", stretch}, {"report_x0", "free_slots"}}},
+          {"limits", {{"cancel", true}, {"probes", false}, {"parallel_tries", false}, {"retry_after", true}, {"try_limit", 3},
+                      {"max_retry_after_ms", 2000.0}, {"conn_idle_ms", 5000.0}, {"connect_timeout_ms", 200.0}, {"most_held", 20000}}},
+          {"report", {{"names", json::array({"x0"})}, {"via", "probe"}}},
+          {"safety", {{"ask_within_ms", 10000.0}, {"cold_from", plan.cold_from}, {"cold_ms", to_ms(plan.cold)}, {"drain_grace_ms", 500.0},
+                      {"fall_ms", 2000.0}, {"fall_multiple", 4.0}, {"grace_to_answer_ms", 16.0}}}};
+}
+
+}  // namespace
+
+NodeProcess::NodeProcess(const Plan& plan, std::string folder, int number, const net::Address& discovery, std::uint64_t seed,
+                         const std::string& program)
+    : folder_(std::move(folder)) {
+  std::filesystem::create_directories(folder_ + "/deploy");
+  std::ostringstream hex;
+  hex << std::hex << seed;
+  json config = {{"name", "n" + std::to_string(number)}, {"listen", "127.0.0.1:0"}, {"seed", hex.str()}, {"discovery", discovery.text()},
+                 {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 1024}}}, {"settings", platform_settings(plan, number)}};
+  std::ofstream(folder_ + "/config.json") << config.dump(1);
+  std::ofstream(folder_ + "/deploy/keelflow.sexp") << "(admin (socket \"admin\"))\n" << plan.settings;
+  pid_ = fork();
+  if (pid_ != 0) return;
+  int log = ::open((folder_ + "/log").c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0640);
+  dup2(log, 1);
+  dup2(log, 2);
+  setenv("EDGE_CONFIG", (folder_ + "/config.json").c_str(), 1);
+  if (chdir(folder_.c_str()) == 0) execl(program.c_str(), program.c_str(), nullptr);
+  _exit(127);
+}
+
+NodeProcess::~NodeProcess() {
+  if (pid_ <= 0 || ended()) return;
+  kill(pid_, SIGKILL);
+  waitpid(pid_, nullptr, 0);
+}
+
+std::string NodeProcess::log() const { return read_file(folder_ + "/log"); }
+
+net::Address NodeProcess::wait_until_up() {
+  for (auto until = Clock::now() + kStartLimit; Clock::now() < until && !ended(); std::this_thread::sleep_for(5ms)) {
+    json s = status();
+    if (s.is_object())
+      if (auto address = net::parse_address(s.value("address", ""))) return *address;
+  }
+  throw std::runtime_error("a node did not come up:\n" + log());
+}
+
+json NodeProcess::status() const {
+  cli::Reply reply = cli::call(socket(), "GET", "/status", 1s);
+  return reply.status == 200 ? json::parse(reply.body, nullptr, false) : json();
+}
+
+bool NodeProcess::command(const std::string& move, const std::string& verb) const {
+  return cli::call(socket(), "POST", "/moves/" + move + "/" + verb, 1s).status == 200;
+}
+
+void NodeProcess::settings(const std::string& text) {
+  std::ofstream(folder_ + "/deploy/new") << "(admin (socket \"admin\"))\n" << text;
+  std::filesystem::rename(folder_ + "/deploy/new", folder_ + "/deploy/keelflow.sexp");
+  kill(pid_, SIGHUP);
+}
+
+void NodeProcess::terminate() {
+  if (std::exchange(told_, true) || pid_ <= 0) return;
+  kill(pid_, SIGTERM);
+}
+
+bool NodeProcess::ended() {
+  int status = 0;
+  if (pid_ <= 0) return true;
+  if (waitpid(pid_, &status, WNOHANG) != pid_) return false;
+  pid_ = -1;
+  code_ = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+  return true;
+}
+
+double NodeProcess::cpu_seconds() const {
+  std::ifstream file("/proc/" + std::to_string(pid_) + "/stat");
+  std::string text((std::istreambuf_iterator<char>(file)), {});
+  auto after = text.rfind(')');
+  if (after == std::string::npos) return 0;
+  std::istringstream in(text.substr(after + 2));
+  std::string skipped;
+  long user = 0, system = 0;
+  for (int i = 0; i < 11; ++i) in >> skipped;
+  in >> user >> system;
+  return static_cast<double>(user + system) / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+
+long NodeProcess::memory_kb() const {
+  std::ifstream file("/proc/" + std::to_string(pid_) + "/status");
+  for (std::string line; std::getline(file, line);)
+    if (line.starts_with("VmHWM:")) return std::atol(line.c_str() + 6);
+  return 0;
+}
+
+}  // namespace keelflow::lab
--- /dev/null
+++ b/lab/plan.h
@@ -0,0 +1,63 @@
+// An experiment, as a file of S-expressions says it. docs/operators/lab.md has the form.
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "config/sexp.h"
+#include "core/time.h"
+#include "reedlb/dispatcher.h"
+
+namespace keelflow::lab {
+
+struct ClassPlan {
+  std::string name;
+  reedlb::Effect effect = reedlb::Effect::safe;
+  Duration window{}, target = from_ms(300), patience = from_ms(2000);
+  double stretch = 1.5, value = 1, share = 1;
+  Duration run = from_ms(40);  // usual running time on a standard core
+  double spread = 0.4;         // sigma of its logarithm
+  double retries = 2;          // further tries after a refusal, or a failure where the class allows it
+};
+
+struct BoxPlan {  // some boxes that are alike; their hosts are NAME-1, NAME-2, ...
+  std::string name, site = "east";
+  double count = 4, cores = 4, speed = 1, queue = 16;
+  bool cold = false;  // they start with the experiment
+};
+
+struct Change {  // something that happens at a moment
+  Duration at{};
+  std::string verb;                 // load, slow, crash, revive, drain, ready, command, settings, terminate
+  std::vector<config::Node> words;  // what follows the verb
+};
+
+struct Expectation {
+  std::string metric, op;
+  double value = 0;
+};
+
+struct Plan {
+  std::string name;
+  double nodes = 2, load = 100, tenants = 4, objects = 5000, rude = 0;  // rude: share of clients that ignore Retry-After
+  Duration lasts = std::chrono::seconds(15);
+  double cold_from = 0.14;
+  Duration cold = std::chrono::seconds(20);
+  std::vector<ClassPlan> classes;
+  std::vector<BoxPlan> boxes;
+  std::vector<Change> changes;
+  std::vector<Expectation> expectations;
+  std::string settings;  // keelflow.sexp, but for the admin socket
+};
+
+struct Variant {
+  std::string name;                           // "slow=2", empty for the only one
+  std::map<std::string, std::string> values;  // what stands for $NAME
+};
+
+// All variants that the file's (vary NAME VALUE ...) lines make together. Throws ConfigError with all faults.
+std::vector<Variant> variants(const std::string& text, const std::string& file);
+Plan read_plan(const std::string& text, const std::string& file, const Variant& variant);
+
+}  // namespace keelflow::lab
--- /dev/null
+++ b/lab/run.cpp
@@ -0,0 +1,253 @@
+#include "run.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <filesystem>
+
+#include "config/form.h"
+#include "crowd.h"
+#include "directory.h"
+#include "nodes.h"
+
+namespace keelflow::lab {
+namespace {
+
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+constexpr Duration kSettle = 300ms;    // for nodes to hear of the boxes before anyone asks
+constexpr Duration kToldLate = 1s;     // discovery tells of a crash or a return so much later
+constexpr Duration kAfter = 30s;       // most that is waited for the last answers
+
+std::string text_of(const std::vector<config::Node>& words, std::size_t i) { return i < words.size() ? words[i].atom : ""; }
+
+double number_of(const std::vector<config::Node>& words, std::size_t i, double otherwise) {
+  double value = otherwise;
+  if (i < words.size() && !config::read_number(words[i], value)) return otherwise;
+  return value;
+}
+
+class Run {
+ public:
+  Run(const Plan& plan, const RunSettings& settings)
+      : plan_(plan), settings_(settings), random_(settings.seed, 7),
+        world_{.loop = loop_, .counters = counters_, .rules = rules_, .cold = plan.cold, .cold_from = plan.cold_from, .works = {}, .served = {}, .nodes = {}},
+        crowd_(world_, plan, settings.seed) {
+    auto nodes = static_cast<std::size_t>(plan.nodes);
+    for (const BoxPlan& b : plan.boxes)
+      for (int i = 1; i <= static_cast<int>(b.count); ++i) boxes_.push_back(std::make_unique<Box>(world_, b, b.name + "-" + std::to_string(i), nodes));
+    directory_ = std::make_unique<Directory>(world_, boxes_, nodes);
+    char name[] = "/tmp/keelflow-lab-XXXXXX";
+    if (!mkdtemp(name)) throw std::runtime_error("no folder could be made");
+    folder_ = name;
+    for (std::size_t i = 0; i < nodes; ++i)
+      nodes_.push_back(std::make_unique<NodeProcess>(plan, folder_ + "/n" + std::to_string(i), static_cast<int>(i), directory_->address(i),
+                                                     settings.seed * 1000 + i, settings.program));
+    for (auto& node : nodes_) world_.nodes.push_back(node->wait_until_up());
+  }
+
+  ~Run() {
+    nodes_.clear();
+    if (settings_.keep) std::fprintf(stderr, "kept: %s\n", folder_.c_str());
+    else std::filesystem::remove_all(folder_);
+  }
+
+  Outcome play() {
+    TimePoint start = loop_.now() + kSettle;
+    loop_.at(start, [this] { crowd_.begin(); });
+    for (const Change& change : plan_.changes) loop_.at(start + change.at, [this, &change] { apply(change); });
+    loop_.at(start + plan_.lasts, [this] {
+      crowd_.stop();
+      last_ = loop_.now() + kAfter;
+      wait_for_answers();
+    });
+    if (settings_.live) live(start + 1s, 1);
+    loop_.run();
+    return judge();
+  }
+
+ private:
+  void apply(const Change& change) {
+    const auto& w = change.words;
+    if (change.verb == "load") return crowd_.load(number_of(w, 0, 1));
+    if (change.verb == "settings") {
+      for (auto& node : nodes_) node->settings(text_of(w, 0));
+      return;
+    }
+    if (change.verb == "command") {
+      auto space = text_of(w, 0).find(' ');
+      for (auto& node : nodes_) node->command(text_of(w, 0).substr(space + 1), text_of(w, 0).substr(0, space));
+      return;
+    }
+    if (change.verb == "terminate") {
+      auto number = static_cast<std::size_t>(number_of(w, 0, 0));
+      if (number >= nodes_.size()) return;
+      crowd_.leave(number);
+      return nodes_[number]->terminate();
+    }
+    // The others are about a share of the boxes whose names begin so, drawn by the seed.
+    std::vector<Box*> wanted;
+    for (auto& box : boxes_)
+      if (box->host().starts_with(text_of(w, 0))) wanted.push_back(box.get());
+    bool back = change.verb == "revive" || change.verb == "ready";
+    if (back) std::erase_if(wanted, [&](Box* b) { return change.verb == "revive" ? b->up() : b->health() != Box::Health::draining; });
+    double share = change.verb == "slow" ? number_of(w, 2, 1) : number_of(w, 1, 1);
+    std::shuffle(wanted.begin(), wanted.end(), random_);
+    wanted.resize(static_cast<std::size_t>(std::ceil(share * static_cast<double>(wanted.size()))));
+    for (Box* box : wanted) apply_to(*box, change);
+  }
+
+  void apply_to(Box& box, const Change& change) {
+    auto tell = [this, &box](Duration late) { loop_.at(loop_.now() + late, [this, &box] { directory_->changed(box); }); };
+    if (change.verb == "slow") return box.slow(number_of(change.words, 1, 2));
+    if (change.verb == "crash") return box.crash(), tell(kToldLate);
+    if (change.verb == "revive") return box.revive(), tell(kToldLate);
+    box.drain(change.verb == "drain");
+    tell(0ms);
+  }
+
+  void wait_for_answers() {
+    if (!crowd_.waiting() || loop_.now() >= last_) {
+      for (auto& node : nodes_) finals_.push_back(node->status());
+      for (auto& node : nodes_) cpu_ += node->cpu_seconds(), memory_ = std::max(memory_, node->memory_kb());
+      for (auto& node : nodes_) node->terminate();
+      return wait_for_ends();
+    }
+    loop_.at(loop_.now() + 20ms, [this] { wait_for_answers(); });
+  }
+
+  void wait_for_ends() {
+    bool all = std::all_of(nodes_.begin(), nodes_.end(), [](auto& node) { return node->ended(); });
+    if (all || loop_.now() > last_ + 10s) return loop_.stop();
+    loop_.at(loop_.now() + 20ms, [this] { wait_for_ends(); });
+  }
+
+  void live(TimePoint when, int second) {
+    loop_.at(when, [this, when, second] {
+      if (loop_.now() < when + 500ms) print(second);
+      if (!last_.time_since_epoch().count()) live(when + 1s, second + 1);
+    });
+  }
+
+  void print(int second) {
+    const auto& seconds = crowd_.seconds();
+    // The last second's answers are still on their way; the one before is nearly whole.
+    std::size_t at = static_cast<std::size_t>(std::max(0, second - 2));
+    double share = at < seconds.size() && seconds[at].first > 0 ? 100 * seconds[at].second / seconds[at].first : 100;
+    std::string moves;
+    for (std::size_t i = 0; i < nodes_.size(); ++i) {
+      json s = nodes_[i]->status();
+      if (!s.is_object()) continue;
+      for (const json& m : s["moves"]) {
+        char text[96];
+        std::snprintf(text, sizeof text, "  n%zu %s %.0f%% to %s", i, m["state"].get<std::string>().c_str(), 100 * m["share"].get<double>(), m["to"].get<std::string>().c_str());
+        moves += text;
+      }
+    }
+    std::printf("%3d s  %6llu jobs  in time %5.1f %%  rules broken %llu%s\n", second, static_cast<unsigned long long>(crowd_.jobs()), share,
+                static_cast<unsigned long long>(rules_.broken()), moves.c_str());
+    std::fflush(stdout);
+  }
+
+  Outcome judge() {
+    Outcome out;
+    auto& m = out.metrics;
+    double asked = 0, in_time = 0, refused = 0, failed = 0, silent = 0, tries = 0, worst = 1;
+    for (std::size_t i = 0; i < plan_.classes.size(); ++i) {
+      const ClassFigures& f = crowd_.figures()[i];
+      asked += f.worth_asked, in_time += f.worth_in_time;
+      refused += static_cast<double>(f.refused), failed += static_cast<double>(f.failed), silent += static_cast<double>(f.silent);
+      tries += static_cast<double>(f.tries);
+      double share = f.worth_asked > 0 ? f.worth_in_time / f.worth_asked : 1;
+      m["in-time:" + plan_.classes[i].name] = share;
+      worst = std::min(worst, share);
+    }
+    m["jobs"] = static_cast<double>(crowd_.jobs());
+    m["tries"] = tries, m["refused"] = refused, m["failed"] = failed, m["silent"] = silent;
+    m["in-time"] = asked > 0 ? in_time / asked : 0;
+    m["in-time-worst-class"] = worst;
+    m["rules"] = static_cast<double>(rules_.broken());
+    for (const auto& [rule, count] : rules_.by_rule()) m["rule:" + rule] = static_cast<double>(count);
+    m["p50-ms"] = crowd_.latency(0.5), m["p99-ms"] = crowd_.latency(0.99);
+    m["cpu-us-per-try"] = tries > 0 ? 1e6 * cpu_ / tries : 0;
+    m["memory-kb"] = static_cast<double>(memory_);
+    m["bad-ends"] = static_cast<double>(std::count_if(nodes_.begin(), nodes_.end(), [](auto& n) { return n->exit_code() != 0; }));
+    look_at_moves(m);
+    out.breaches = rules_.examples();
+    out.seconds = crowd_.seconds();
+    out.nodes = finals_;
+    for (const Expectation& e : plan_.expectations) {
+      double value = m.contains(e.metric) ? m[e.metric] : -1;
+      bool holds = m.contains(e.metric) && (e.op == "=" ? value == e.value : e.op == "<=" ? value <= e.value : value >= e.value);
+      char text[160];
+      std::snprintf(text, sizeof text, "%s is %g, wanted %s %g", e.metric.c_str(), value, e.op.c_str(), e.value);
+      if (!holds) out.missed.push_back(text);
+    }
+    return out;
+  }
+
+  // Moves are each node's own: of figures the worst node's counts.
+  void look_at_moves(std::map<std::string, double>& m) {
+    m["undone"] = m["done"] = m["undo-step"] = m["undo-s"] = m["moved-worth-lost"] = m["most-share"] = 0;
+    for (const json& status : finals_) {
+      if (!status.is_object()) continue;
+      for (const json& move : status["moves"]) {
+        m["most-share"] = std::max(m["most-share"], move["share"].get<double>());
+        m["done"] += move["state"] == "done";
+        std::map<std::string, std::pair<double, double>> worth;  // by pool: asked, in time
+        for (const json& pool : status["pools"]) worth[pool["pool"]] = {pool["worth_asked"], pool["worth_in_time"]};
+        auto [asked_new, good_new] = worth[move["to"]];
+        auto [asked_old, good_old] = worth[move["from"]];
+        if (asked_new > 0 && asked_old > 0) m["moved-worth-lost"] += asked_new * (good_old / asked_old - good_new / asked_new);
+        if (move["state"] != "undone") continue;
+        m["undone"] += 1;
+        m["undo-step"] = std::max(m["undo-step"], move["step"].get<double>());
+        double step = 0, undone = 0;
+        for (const json& event : move["history"]) {
+          if (event["what"].get<std::string>().starts_with("step ")) step = event["unix_ms"];
+          if (event["what"].get<std::string>().starts_with("undone")) undone = event["unix_ms"];
+        }
+        m["undo-s"] = std::max(m["undo-s"], (undone - step) / 1000);
+      }
+    }
+  }
+
+  const Plan& plan_;
+  const RunSettings& settings_;
+  pcg32 random_;
+  net::EventLoop loop_;
+  Counters counters_;
+  Rules rules_;
+  World world_;
+  std::vector<std::unique_ptr<Box>> boxes_;
+  Crowd crowd_;
+  std::unique_ptr<Directory> directory_;
+  std::string folder_;
+  std::vector<std::unique_ptr<NodeProcess>> nodes_;
+  std::vector<json> finals_;
+  double cpu_ = 0;
+  long memory_ = 0;
+  TimePoint last_{};
+};
+
+}  // namespace
+
+Outcome run(const Plan& plan, const RunSettings& settings) { return Run(plan, settings).play(); }
+
+json to_json(const Outcome& o) {
+  return {{"metrics", o.metrics}, {"breaches", o.breaches}, {"missed", o.missed}, {"seconds", o.seconds}, {"nodes", o.nodes}};
+}
+
+Outcome from_json(const json& j) {
+  Outcome o;
+  o.metrics = j.at("metrics").get<std::map<std::string, double>>();
+  o.breaches = j.at("breaches").get<std::vector<std::string>>();
+  o.missed = j.at("missed").get<std::vector<std::string>>();
+  o.seconds = j.at("seconds").get<std::vector<std::pair<double, double>>>();
+  o.nodes = j.at("nodes");
+  return o;
+}
+
+}  // namespace keelflow::lab
--- /dev/null
+++ b/logic/routes/key_memory.h
@@ -0,0 +1,53 @@
+// Remembers for a while which pool a keyed request went to, so that a client's further try of it goes there too: the
+// boxes that drop its repeats are there. Of fixed size; a full bucket forgets what would have expired first.
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace keelflow::routes {
+
+class KeyMemory {
+ public:
+  explicit KeyMemory(std::size_t entries) {  // rounded up to a power of two, at least one bucket
+    std::size_t buckets = 1;
+    while (buckets * kWays < entries) buckets *= 2;
+    buckets_.resize(buckets);
+  }
+
+  int find(std::uint64_t key, double now_ms) const {  // -1: not known
+    for (const Entry& e : buckets_[key & (buckets_.size() - 1)])
+      if (e.pool >= 0 && e.key == key && e.until > now_ms) return e.pool;
+    return -1;
+  }
+
+  void put(std::uint64_t key, int pool, double until_ms, double now_ms) {
+    Entry* victim = nullptr;
+    for (Entry& e : buckets_[key & (buckets_.size() - 1)]) {
+      if (e.pool >= 0 && e.key == key) {
+        victim = &e;
+        break;
+      }
+      if (!victim || e.until < victim->until) victim = &e;
+    }
+    if (victim->pool >= 0 && victim->key != key && victim->until > now_ms) ++forgotten_;
+    *victim = {key, until_ms, pool};
+  }
+
+  std::uint64_t forgotten() const { return forgotten_; }  // that were still in force
+  std::size_t capacity() const { return buckets_.size() * kWays; }
+
+ private:
+  static constexpr std::size_t kWays = 4;
+  struct Entry {
+    std::uint64_t key = 0;
+    double until = 0;
+    int pool = -1;
+  };
+  std::vector<std::array<Entry, kWays>> buckets_;
+  std::uint64_t forgotten_ = 0;
+};
+
+}  // namespace keelflow::routes
--- a/node/config/config.cpp
+++ b/node/config/config.cpp
@@ -104,26 +104,4 @@
 
 Config read_config(const std::string& path) { return decode_config(read_file(path)); }
 
-ProgressConfig read_progress_config(const std::string& path) {
-  // A small part of TOML is enough here: key = "text" or key = number, one a line, and comments.
-  ProgressConfig out;
-  std::ifstream file(path);
-  for (std::string line; std::getline(file, line);) {
-    auto equals = line.find('=');
-    auto word = line.find_first_not_of(" \t");
-    if (equals == std::string::npos || word == std::string::npos || line[word] == '#') continue;
-    std::string key = line.substr(word, line.find_first_of(" \t=", word) - word);
-    std::string value = line.substr(equals + 1);
-    auto open = value.find('"');
-    if (open != std::string::npos) value = value.substr(open + 1, value.find('"', open + 1) - open - 1);
-    if (key == "listen") out.listen = value;
-    else if (key == "hook") out.hook = value;
-    else if (key == "store") out.store = value;
-    else if (key == "heartbeat_s") out.heartbeat = from_ms(1000 * std::strtod(value.c_str(), nullptr));
-    else if (key == "expiry_s") out.expiry = from_ms(1000 * std::strtod(value.c_str(), nullptr));
-    else throw ConfigError("'" + path + "': unknown key '" + key + "'");
-  }
-  return out;
-}
-
 }  // namespace keelflow
--- a/node/config/config.h
+++ b/node/config/config.h
@@ -38,12 +38,4 @@
 // The nested settings in the path=value form of the simulator's first message, which the adapter's decoder reads.
 std::string flatten_settings(const std::string& json);
 
-// Where the progress front listens, from deploy/progress.toml; empty where the file or the address is missing.
-struct ProgressConfig {
-  std::string listen, hook, store;
-  Duration heartbeat = std::chrono::seconds(10);
-  Duration expiry = std::chrono::minutes(10);
-};
-ProgressConfig read_progress_config(const std::string& path);
-
 }  // namespace keelflow
--- a/node/core/counters.h
+++ b/node/core/counters.h
@@ -15,6 +15,8 @@
   X(connections_failed) X(accept_paused) X(lists_received) X(watches_opened) X(watches_broken)           \
   X(reloads) X(reloads_failed) X(drain_stage)                                                            \
   X(streams_opened) X(events_sent) X(events_dropped) X(slow_readers_closed) X(hook_faults)               \
+  X(requests_rehomed) X(requests_spilled) X(requests_kept) X(keys_forgotten) X(log_dropped) X(admin_calls)   \
+  X(moves_started) X(moves_undone) X(moves_done)                                                          \
   X(hook_dropped) X(store_writes) X(store_faults) X(store_skipped) X(replays)
 
 struct Counters {
--- a/node/core/engine.cpp
+++ b/node/core/engine.cpp
@@ -30,7 +30,14 @@
 
 Engine::Engine(const reedlb::Settings& settings, std::uint64_t seed, Limits limits, TimerPort& timers,
                const UnixClock& clock, Counters& counters)
-    : dispatcher_(settings, seed), classes_(settings.classes), limits_(limits), timers_(timers), clock_(clock), counters_(counters) {}
+    : settings_(settings), seed_(seed), limits_(limits), timers_(timers), clock_(clock), counters_(counters) {
+  lanes(1);
+}
+
+void Engine::lanes(int count) {
+  while (lanes_.size() < static_cast<std::size_t>(count))  // the first one draws what a node without pools draws
+    lanes_.push_back(std::make_unique<Lane>(settings_, seed_ + lanes_.size() * 0x9e3779b97f4a7c15ull, shares_));
+}
 
 void Engine::connect(EndpointPort& endpoints, DestinationPort& destinations) {
   endpoints_ = &endpoints;
@@ -39,23 +46,23 @@
 
 // Events are played one after another, each at its own time. An action may cause the next event before it
 // returns (a connection refused at once); that event waits here until the present one is dealt with.
-void Engine::post(reedlb::Event event) {
-  inbox_.push_back(std::move(event));
+void Engine::post(int pool, reedlb::Event event) {
+  inbox_.emplace_back(pool, std::move(event));
   if (std::exchange(pumping_, true)) return;
   reedlb::Actions actions;
   while (!inbox_.empty()) {
-    reedlb::Event next = std::move(inbox_.front());
+    auto [lane, next] = std::move(inbox_.front());
     inbox_.pop_front();
     actions.clear();
-    dispatcher_.handle(clock_.unix_ms(timers_.now()), next, actions);
-    for (const reedlb::Action& action : actions) carry_out(action);
+    lanes_.at(static_cast<std::size_t>(lane))->dispatcher.handle(clock_.unix_ms(timers_.now()), next, actions);
+    for (const reedlb::Action& action : actions) carry_out(lane, action);
     if (const auto* outcome = std::get_if<reedlb::Outcome>(&next)) forget_if_over(outcome->request);
     if (const auto* gone = std::get_if<reedlb::ClientGone>(&next)) forget_if_over(gone->request);
   }
   pumping_ = false;
 }
 
-void Engine::carry_out(const reedlb::Action& action) {
+void Engine::carry_out(int pool, const reedlb::Action& action) {
   if (const auto* a = std::get_if<reedlb::Send>(&action)) return send(*a);
   if (const auto* a = std::get_if<reedlb::Recall>(&action)) return recall({a->request, a->attempt}, false);
   if (const auto* a = std::get_if<reedlb::Probe>(&action)) {
@@ -74,19 +81,21 @@
     return finish(a->request, {.kind = FinalAnswer::Kind::failed, .timed_out = late});
   }
   if (const auto* a = std::get_if<reedlb::SetTimer>(&action))
-    timers_.at(std::max(clock_.at(a->when), last_bell_ + limits_.tick), [this, name = a->name] { ring(name); });
+    timers_.at(std::max(clock_.at(a->when), lanes_[static_cast<std::size_t>(pool)]->last_bell + limits_.tick),
+               [this, pool, name = a->name] { ring(pool, name); });
 }
 
 // Timers ring no more often than once a tick, but on time where none has rung just before. Rounding them up to a
 // grid of ticks used up the tick that the module leaves for an answer to travel before its client gives up.
-void Engine::ring(std::uint64_t name) {
-  TimePoint now = timers_.now(), allowed = last_bell_ + limits_.tick;
+void Engine::ring(int pool, std::uint64_t name) {
+  Lane& lane = *lanes_[static_cast<std::size_t>(pool)];
+  TimePoint now = timers_.now(), allowed = lane.last_bell + limits_.tick;
   if (now < allowed) {
-    timers_.at(allowed, [this, name] { ring(name); });
+    timers_.at(allowed, [this, pool, name] { ring(pool, name); });
     return;
   }
-  last_bell_ = now;
-  post(reedlb::Timer{name});
+  lane.last_bell = now;
+  post(pool, reedlb::Timer{name});
 }
 
 std::optional<RequestId> Engine::take(Job job, Asker& asker) {
@@ -100,24 +109,57 @@
   ++counters_.requests_taken;
   TimePoint now = timers_.now();
   if (job.patience > last_answer_ - now) job.patience = std::max(Duration::zero(), last_answer_ - now);
-  job.once = classes_.at(static_cast<std::size_t>(job.cls)).effect != reedlb::Effect::safe;
+  job.once = settings_.classes.at(static_cast<std::size_t>(job.cls)).effect != reedlb::Effect::safe;
+  int pool = routes_ ? routes_->choose(job) : 0;
+  reedlb::Arrival arrival = arrival_of(id, job, job.patience);
+  by_name_.emplace(job.id, id);
+  Request& request = requests_[id];
+  request.taken = now;
+  request.deadline = now + job.patience;
+  request.pool = pool;
+  request.asker = &asker;
+  request.job = std::move(job);
+  post(pool, arrival);
+  return id;
+}
+
+reedlb::Arrival Engine::arrival_of(RequestId id, const Job& job, Duration patience) const {
   reedlb::Arrival arrival;
   arrival.request = id;
   arrival.cls = job.cls;
   arrival.tenant = job.tenant;
   arrival.key = job.key;
-  arrival.ttl_ms = to_ms(job.patience);
+  arrival.ttl_ms = to_ms(patience);
   arrival.hint = Milliseconds(job.hint).count();
   arrival.slots = job.slots;
   arrival.memory = job.memory;
   arrival.repeat = job.repeat;
-  by_name_.emplace(job.id, id);
-  Request& request = requests_[id];
-  request.deadline = now + job.patience;
-  request.asker = &asker;
-  request.job = std::move(job);
-  post(arrival);
-  return id;
+  return arrival;
+}
+
+// To the Dispatcher that held it, a request that leaves is one whose client has gone: nothing was sent, so nothing
+// has to be called off. Its deadline stays what it was.
+void Engine::rehome(int pool) {
+  if (!routes_) return;
+  std::vector<RequestId> held;
+  for (const auto& [id, request] : requests_)
+    if (request.pool == pool && request.attempts.empty() && request.asker) held.push_back(id);
+  std::sort(held.begin(), held.end());  // the order in which they came
+  for (RequestId id : held) {
+    Request& request = requests_.at(id);
+    int now_in = routes_->choose(request.job);
+    if (now_in == pool) continue;
+    ++counters_.requests_rehomed;
+    request.pool = now_in;
+    Duration left = std::max(Duration::zero(), request.deadline - timers_.now());
+    reedlb::Arrival arrival = arrival_of(id, request.job, left);
+    post(pool, reedlb::ClientGone{id});
+    post(now_in, arrival);
+  }
+}
+
+void Engine::tell_end(const Request& request, RoutePort::End how) {
+  if (routes_) routes_->ended(request.job, request.pool, request.taken, how);
 }
 
 void Engine::client_gone(RequestId id) {
@@ -125,7 +167,8 @@
   if (it == requests_.end() || !it->second.asker) return;
   ++counters_.clients_gone;
   it->second.asker = nullptr;
-  post(reedlb::ClientGone{id});
+  tell_end(it->second, RoutePort::End::gone);
+  post(it->second.pool, reedlb::ClientGone{id});
 }
 
 void Engine::send(const reedlb::Send& send) {
@@ -166,7 +209,7 @@
   if (!attempt || std::exchange(attempt->started, true)) return;
   if (Asker* asker = requests_.at(ref.request).asker)
     asker->on_progress({.kind = Progress::Kind::started, .attempt = ref.attempt});
-  post(reedlb::Started{ref.request, ref.attempt});
+  post(requests_.at(ref.request).pool, reedlb::Started{ref.request, ref.attempt});
 }
 
 void Engine::attempt_progress(AttemptRef ref, double share) {
@@ -213,19 +256,21 @@
       ++counters_.attempts_cancelled;
   }
   bool served = outcome.result == Result::ok;
+  int pool = request.pool;
   outcome.final = served || !request.asker;
   if (served)  // the first result concludes the request by itself; `request` may be gone after this
     finish(ref.request, {.kind = FinalAnswer::Kind::served, .result = std::move(end.result)});
-  post(outcome);
+  post(pool, outcome);
 }
 
 void Engine::probed(WorkerId worker, bool ok, Duration elapsed, const reedlb::LoadReport& report) {
-  post(reedlb::ProbeResult{worker, ok, to_ms(elapsed), report});
+  // The module sends no probes yet. With pools, the answer belongs to the lane that asked.
+  for (std::size_t i = 0; i < lanes_.size(); ++i)
+    post(static_cast<int>(i), reedlb::ProbeResult{worker, ok, to_ms(elapsed), report});
 }
 
-void Engine::destinations(reedlb::WorkerList list) {
-  ++counters_.lists_received;
-  post(std::move(list));
+void Engine::destinations(reedlb::WorkerList list, int pool) {
+  post(pool, std::move(list));
 }
 
 void Engine::finish(RequestId id, FinalAnswer answer) {
@@ -243,6 +288,9 @@
   }
   Asker* asker = it->second.asker;
   it->second.asker = nullptr;
+  tell_end(it->second, answer.kind == FinalAnswer::Kind::served    ? RoutePort::End::served
+                       : answer.kind == FinalAnswer::Kind::refused ? RoutePort::End::refused
+                                                                   : RoutePort::End::failed);
   asker->on_final(std::move(answer));
   forget_if_over(id);
 }
--- a/node/core/engine.h
+++ b/node/core/engine.h
@@ -22,6 +22,11 @@
   Engine(const reedlb::Settings& settings, std::uint64_t seed, Limits limits, TimerPort& timers,
          const UnixClock& clock, Counters& counters);
   void connect(EndpointPort& endpoints, DestinationPort& destinations);
+  // Pools: each has a lane, a Dispatcher that sees its endpoints and its requests only. There is one from the start.
+  void route(RoutePort* routes) { routes_ = routes; }
+  void lanes(int count);  // at least so many
+  // Requests of that pool that no endpoint was ever sent are routed again.
+  void rehome(int pool);
 
   // From the inbound side. Takes the request over: `asker` hears its final answer, perhaps before this returns,
   // and must live until then or until client_gone. Empty: an open request has that id already.
@@ -37,10 +42,11 @@
   void probed(WorkerId worker, bool ok, Duration elapsed, const reedlb::LoadReport& report);
 
   // From discovery.
-  void destinations(reedlb::WorkerList list);
+  void destinations(reedlb::WorkerList list, int pool = 0);
 
   std::size_t open_requests() const { return by_name_.size(); }
   std::size_t open_attempts() const { return attempts_out_; }
+  std::size_t held(int pool) const { return lanes_.at(static_cast<std::size_t>(pool))->dispatcher.held(); }
 
  private:
   struct Attempt {
@@ -52,22 +58,35 @@
   struct Request {
     Job job;
     Asker* asker = nullptr;  // null once answered or gone
-    TimePoint deadline;
+    TimePoint taken, deadline;
+    int pool = 0;
     std::vector<Attempt> attempts;
     bool expired = false;  // an attempt ran into its time limit
   };
 
-  void post(reedlb::Event event);
-  void ring(std::uint64_t name);
-  void carry_out(const reedlb::Action& action);
+  struct Lane {
+    Lane(const reedlb::Settings& settings, std::uint64_t seed, std::shared_ptr<reedlb::TenantShares> shares)
+        : dispatcher(settings, seed, std::move(shares)) {}
+    reedlb::Dispatcher dispatcher;
+    TimePoint last_bell{};
+  };
+
+  void post(int pool, reedlb::Event event);
+  void ring(int pool, std::uint64_t name);
+  void carry_out(int pool, const reedlb::Action& action);
+  reedlb::Arrival arrival_of(RequestId id, const Job& job, Duration patience) const;
+  void tell_end(const Request& request, RoutePort::End how);
   void send(const reedlb::Send& send);
   void recall(AttemptRef ref, bool timed_out);
   void finish(RequestId id, FinalAnswer answer);
   void forget_if_over(RequestId id);
   Attempt* out(AttemptRef ref);
 
-  reedlb::Dispatcher dispatcher_;
-  std::vector<reedlb::ClassSettings> classes_;
+  reedlb::Settings settings_;
+  std::uint64_t seed_;
+  std::shared_ptr<reedlb::TenantShares> shares_ = std::make_shared<reedlb::TenantShares>();
+  std::vector<std::unique_ptr<Lane>> lanes_;
+  RoutePort* routes_ = nullptr;
   Limits limits_;
   TimerPort& timers_;
   const UnixClock& clock_;
@@ -76,9 +95,9 @@
   DestinationPort* destinations_ = nullptr;
   std::unordered_map<RequestId, Request> requests_;
   std::unordered_map<std::string, RequestId> by_name_;  // of all in requests_
-  std::deque<reedlb::Event> inbox_;
+  std::deque<std::pair<int, reedlb::Event>> inbox_;
   bool pumping_ = false;
-  TimePoint last_bell_{}, last_answer_ = TimePoint::max();
+  TimePoint last_answer_ = TimePoint::max();
   RequestId next_id_ = 1;
   std::size_t attempts_out_ = 0;
 };
--- a/node/core/ports.h
+++ b/node/core/ports.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "core/time.h"
 #include "reedlb/dispatcher.h"
@@ -27,6 +28,7 @@
   bool repeat = false;
   bool wants_progress = false;
   bool once = false;  // its class limits what may be repeated once it may have run
+  std::string_view path, idempotency_key;  // these stand in the payload
   std::shared_ptr<const Payload> payload;
 };
 
@@ -75,6 +77,16 @@
   virtual void on_final(FinalAnswer answer) = 0;
 };
 
+// Splits requests over pools, each of which has a Dispatcher of its own. Where there is none, all is one pool.
+class RoutePort {
+ public:
+  enum class End : std::uint8_t { served, refused, failed, gone };
+  virtual ~RoutePort() = default;
+  virtual int choose(const Job& job) = 0;  // the number of a pool that the Engine has a lane for
+  // How a request ended that had been given to that pool.
+  virtual void ended(const Job& job, int pool, TimePoint taken, End how) = 0;
+};
+
 // The endpoints' side. Every attempt started ends with one Engine::attempt_ended.
 class EndpointPort {
  public:
--- a/node/discovery/destination_set.cpp
+++ b/node/discovery/destination_set.cpp
@@ -112,6 +112,7 @@
     if (host.dial.in.sin_port != 0) destinations_[host.entry.worker] = {host.name, host.dial};
     told.entries.push_back(host.entry);
   }
+  ++counters_.lists_received;
   listener_(std::move(told));
 }
 
@@ -124,6 +125,7 @@
   back_off_ = std::clamp(2 * back_off_, kLeastBackOff, kMostBackOff);
   reedlb::WorkerList failed;
   failed.scope = reedlb::ListScope::failed;
+  ++counters_.lists_received;
   listener_(std::move(failed));
 }
 
--- a/node/hooks/hook.cpp
+++ b/node/hooks/hook.cpp
@@ -7,6 +7,8 @@
 #include <lua.hpp>
 #include <stdexcept>
 
+#include "log/log.h"
+
 namespace keelflow {
 namespace {
 
@@ -168,8 +170,8 @@
   } else {
     ++counters_.hook_faults;
     ++faults_;
-    std::fprintf(stderr, "keelflow: hook %s: %s%s\n", function, lua_isstring(lua_, -1) ? lua_tostring(lua_, -1) : "?",
-                 active() ? "" : "; it is left out from now on");
+    log::warning(log::Subsystem::progress, "hook-fault",
+                 {{"function", function}, {"fault", lua_isstring(lua_, -1) ? lua_tostring(lua_, -1) : "?"}, {"left-out", !active()}});
   }
   lua_settop(lua_, 0);
   return fine;
--- a/node/inbound/platform_front.cpp
+++ b/node/inbound/platform_front.cpp
@@ -5,6 +5,7 @@
 #include <cstdio>
 #include <nlohmann/json.hpp>
 
+#include "log/log.h"
 #include "outbound/load_report.h"
 
 namespace keelflow {
@@ -100,6 +101,8 @@
   for (unsigned char c : payload->idempotency_key)
     if (c < 32 || c > 126) return Rejection{400, "Idempotency-Key holds an odd character\n"};
   payload->body = std::move(request.body);
+  job.path = std::string_view(payload->target).substr(0, payload->target.find('?'));
+  job.idempotency_key = payload->idempotency_key;
   job.payload = std::move(payload);
   return job;
 }
@@ -146,7 +149,10 @@
   std::string_view path = request.head.path();
   auto plain = [&](int status, std::string_view text) { return connection.respond(status, text), nullptr; };
   if (path == "/up") return plain(request.head.method == "GET" ? 200 : 405, "up\n");
-  if (path == "/counters" && request.head.method == "GET") return plain(200, counters_.text());
+  if (path == "/counters" && request.head.method == "GET") {
+    counters_.log_dropped = log::dropped();
+    return plain(200, counters_.text());
+  }
   if (path == "/_jobs/news") return take_news(connection, request), nullptr;
   auto job = decode_job(std::move(request), config_.names);
   if (const auto* rejection = std::get_if<Rejection>(&job)) {
--- a/node/inbound/server.cpp
+++ b/node/inbound/server.cpp
@@ -1,6 +1,8 @@
 #include "inbound/server.h"
 
 #include <sys/socket.h>
+#include <sys/stat.h>
+#include <sys/un.h>
 #include <unistd.h>
 
 #include <cerrno>
@@ -9,9 +11,15 @@
 #include <system_error>
 #include <utility>
 
+#include "log/log.h"
+
 namespace keelflow {
 namespace {
 
+void must(bool ok, const char* what) {
+  if (!ok) throw std::system_error(errno, std::generic_category(), what);
+}
+
 using namespace std::chrono_literals;
 // From a request's first byte to its last, and from a connection's start to the first byte of all: one that cannot
 // be read is owed an end within 3 s.
@@ -21,6 +29,7 @@
 constexpr Duration kFresh = 100ms;  // in which a connection is not closed for others: its request is on the way
 constexpr Duration kFlushPatience = 30s;  // for a client to read what it was answered
 constexpr Duration kAcceptPause = 10ms;
+constexpr int kMostAccepts = 64;    // in one turn of the loop
 constexpr std::size_t kReserve = 6;  // a sixth more connections than wanted are accepted, for call-backs
 constexpr std::size_t kMostWaiting = 16 * 1024;  // of a next request that comes early; times all connections
 
@@ -141,7 +150,7 @@
     if (busy_ && !over_) exchange_ = std::move(exchange);
     else loop_.dispose(std::move(exchange));
   } catch (const std::exception& fault) {
-    std::fprintf(stderr, "keelflow: request failed: %s\n", fault.what());
+    log::error(log::Subsystem::inbound, "request-failed", {{"fault", fault.what()}});
     if (busy_ && !over_) respond(500, "internal error\n", {{"Connection", "close"}});
   }
 }
@@ -240,14 +249,38 @@
 Server::~Server() { close(); }
 
 void Server::listen(const net::Address& address) {
-  fd_ = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  auto must = [](bool ok, const char* what) {
-    if (!ok) throw std::system_error(errno, std::generic_category(), what);
-  };
-  must(fd_ >= 0, "socket");
+  int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  must(fd >= 0, "socket");
   int on = 1;
-  setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-  must(::bind(fd_, reinterpret_cast<const sockaddr*>(&address.in), sizeof address.in) == 0, "bind");
+  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  must(::bind(fd, reinterpret_cast<const sockaddr*>(&address.in), sizeof address.in) == 0, "bind");
+  serve(fd);
+}
+
+void Server::listen(const std::string& path) {
+  sockaddr_un to{};
+  to.sun_family = AF_UNIX;
+  if (path.size() >= sizeof to.sun_path) throw std::system_error(ENAMETOOLONG, std::generic_category(), path);
+  path.copy(to.sun_path, sizeof to.sun_path - 1);
+  const auto* address = reinterpret_cast<const sockaddr*>(&to);
+  int fd = ::socket(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  must(fd >= 0, "socket");
+  if (::connect(fd, address, sizeof to) == 0) throw std::system_error(EADDRINUSE, std::generic_category(), path);
+  bool leftover = errno == ECONNREFUSED;
+  ::close(fd);
+  if (leftover) ::unlink(path.c_str());
+  fd = ::socket(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  must(fd >= 0, "socket");
+  mode_t usual = ::umask(0177);  // there is never a moment in which others may connect
+  bool bound = ::bind(fd, address, sizeof to) == 0;
+  ::umask(usual);
+  must(bound, path.c_str());
+  path_ = path;
+  serve(fd);
+}
+
+void Server::serve(int fd) {
+  fd_ = fd;
   must(::listen(fd_, 1024) == 0, "listen");
   registration_ = loop_.watch(fd_, *this);
   must(registration_ != 0, "epoll_ctl");
@@ -263,9 +296,11 @@
 void Server::on_ready(std::uint32_t) { accept(); }
 
 // What the kernel has accepted is taken by the platform's rules, so nothing waits in the backlog if it can be
-// helped: others make room first, and only when none can be spared does accepting pause.
+// helped: others make room first, and only when none can be spared does accepting pause. Who connects faster than we
+// accept must not hold the loop: after some the others get their turn.
 void Server::accept() {
-  while (fd_ >= 0) {
+  for (int count = 0; fd_ >= 0; ++count) {
+    if (count == kMostAccepts) return loop_.next_turn(registration_);
     if (connections_.size() >= most_ + most_ / kReserve && !free_one()) return pause();
     int fd = ::accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (fd < 0) {
@@ -334,6 +369,7 @@
   if (fd_ < 0) return;
   loop_.forget(registration_);
   ::close(std::exchange(fd_, -1));
+  if (!path_.empty()) ::unlink(path_.c_str());
 }
 
 }  // namespace keelflow
--- a/node/inbound/server.h
+++ b/node/inbound/server.h
@@ -93,6 +93,8 @@
   ~Server() override;
 
   void listen(const net::Address& address);  // throws std::system_error
+  // A Unix socket of mode 0600. A leftover of a program that has ended is replaced; one that answers is an error.
+  void listen(const std::string& path);
   net::Address address() const;              // the one bound
   // From here on answers end their connection. Accepting goes on until `close`.
   void drain();
@@ -106,7 +108,9 @@
  private:
   friend class InboundConnection;
   void on_ready(std::uint32_t events) override;
+  void on_turn() override { accept(); }
   void accept();
+  void serve(int fd);
   void pause();
   bool free_one(const InboundConnection* except = nullptr);
   void remove(InboundConnection& connection);
@@ -116,6 +120,7 @@
   std::size_t most_;  // beyond it jobs are refused; a reserve above it keeps call-backs coming in
   Counters& counters_;
   int fd_ = -1;
+  std::string path_;  // of a Unix socket: removed at the end
   std::uint64_t registration_ = 0;
   TimerId pause_ = 0;
   bool draining_ = false;
--- a/node/main.cpp
+++ b/node/node.cpp
@@ -1,25 +1,28 @@
-// keelflow: one node. Reads its configuration, joins the parts, runs until SIGTERM and what it had taken is done.
+#include "node.h"
+
 #include <sys/resource.h>
 #include <sys/signalfd.h>
 #include <unistd.h>
 
 #include <csignal>
-#include <cstdio>
-#include <cstdlib>
 #include <exception>
+#include <nlohmann/json.hpp>
 
-#include "config/config.h"
+#include "admin/admin_front.h"
 #include "core/engine.h"
 #include "discovery/destination_set.h"
 #include "inbound/platform_front.h"
 #include "inbound/server.h"
+#include "log/log.h"
 #include "outbound/outbound.h"
 #include "progress/progress_front.h"
+#include "routes/traffic.h"
 
 namespace keelflow {
 namespace {
 
 using namespace std::chrono_literals;
+using log::Subsystem;
 
 // After SIGTERM the front brings new connections for up to 0.4 s, and clients use the ones they have for as long as
 // these stay open. While the next node is still starting they have no other place to go to.
@@ -27,6 +30,7 @@
 // SIGKILL comes 3.7 s after SIGTERM at the earliest. What came in more than 0.7 s after SIGTERM must be answered by then.
 constexpr Duration kForgiven = 600ms, kLastAnswer = 3400ms;
 constexpr Duration kDrainCheck = 20ms;
+constexpr std::size_t kAdminConnections = 6;
 
 struct Budget {  // of descriptors, shared by all sockets of the process
   std::size_t inbound, idle_outbound;
@@ -40,23 +44,21 @@
   return {usable * 5 / 8, usable / 8};
 }
 
-// The signals that the node reads from a descriptor. They are blocked before anything else is done: by default each
-// of them ends the program, and one that comes early must not.
-sigset_t block_signals() {
+sigset_t signals() {
   sigset_t set;
   sigemptyset(&set);
   for (int number : {SIGTERM, SIGINT, SIGHUP, SIGUSR1}) sigaddset(&set, number);
-  sigprocmask(SIG_BLOCK, &set, nullptr);
   return set;
 }
 
 class Node {
  public:
-  Node(std::string path, Config config, ProgressConfig progress)
-      : path_(std::move(path)), config_(std::move(config)), progress_(std::move(progress)), budget_(split(config_.sockets)),
+  Node(NodeFiles files, Config config, config::Own own)
+      : files_(std::move(files)), config_(std::move(config)), own_(std::move(own)), budget_(split(config_.sockets)),
         engine_(config_.settings, config_.seed, {config_.most_held, config_.tick}, loop_, clock_, counters_),
+        traffic_(loop_, clock_, engine_, {config_.names, config_.settings}, counters_),
         destinations_(loop_, config_.discovery, config_.names,
-                      [this](reedlb::WorkerList list) { engine_.destinations(std::move(list)); }, counters_),
+                      [this](reedlb::WorkerList list) { traffic_.list(std::move(list)); }, counters_),
         pool_(loop_, config_.idle_limit * 6 / 10, budget_.idle_outbound, counters_),
         outbound_(loop_, engine_, destinations_, pool_, {config_.connect_timeout, config_.report_names}, counters_),
         front_(loop_, engine_, outbound_, config_, counters_), server_(loop_, front_, budget_.inbound, counters_),
@@ -64,14 +66,17 @@
 
   int run() {
     engine_.connect(outbound_, destinations_);
+    traffic_.connect(destinations_);
+    traffic_.configure(own_.routes, own_.moves);
     server_.on_pressure = [this] { return pool_.free_one(); };
     destinations_.known(config_.known);
     signals_.open();
     server_.listen(config_.listen);
-    std::fprintf(stderr, "keelflow: %s listens on %s\n", config_.name.c_str(), server_.address().text().c_str());
-    if (!progress_.listen.empty()) open_progress();
+    log::info(Subsystem::node, "listens", {{"name", config_.name}, {"address", server_.address().text()}});
+    if (own_.progress.listen) open_progress();
+    if (!own_.admin.socket.empty()) open_admin();
     loop_.run();
-    std::fputs(counters_.text().c_str(), stderr);
+    tell_counters();
     return 0;
   }
 
@@ -83,13 +88,13 @@
       if (fd_ >= 0) ::close(fd_);
     }
     void open() {
-      sigset_t set = block_signals();
+      sigset_t set = signals();
       fd_ = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
       if (fd_ < 0 || node_.loop_.watch(fd_, *this) == 0) throw std::runtime_error("signalfd failed");
     }
     void on_ready(std::uint32_t) override {
       for (signalfd_siginfo info; ::read(fd_, &info, sizeof info) == sizeof info;) {
-        if (info.ssi_signo == SIGUSR1) std::fputs(node_.counters_.text().c_str(), stderr);
+        if (info.ssi_signo == SIGUSR1) node_.tell_counters();
         else if (info.ssi_signo == SIGHUP) node_.reload();
         else node_.drain();
       }
@@ -100,36 +105,68 @@
     int fd_ = -1;
   };
 
-  static net::Address need_address(const std::string& text, const char* what) {
-    if (auto address = net::parse_address(text)) return *address;
-    throw ConfigError(std::string("progress.toml: '") + what + "' is no address: '" + text + "'");
+  void tell_counters() {
+    counters_.log_dropped = log::dropped();
+    std::vector<log::Field> fields;
+#define X(name) fields.emplace_back(#name, counters_.name);
+    KEELFLOW_COUNTERS(X)
+#undef X
+    log::info(Subsystem::node, "counters", fields);
   }
 
   void open_progress() {
-    if (!progress_.hook.empty()) hook_ = std::make_unique<Hook>(read_file(progress_.hook), progress_.hook, Hook::Limits{}, counters_);
-    if (!progress_.store.empty()) {
-      store_ = std::make_unique<Store>(
-          loop_, Store::Settings{.address = need_address(progress_.store, "store"), .expiry = progress_.expiry}, counters_);
+    const config::Progress& p = own_.progress;
+    if (!p.hook.empty()) hook_ = std::make_unique<Hook>(read_file(p.hook), p.hook, Hook::Limits{}, counters_);
+    if (p.store) {
+      store_ = std::make_unique<Store>(loop_, Store::Settings{.address = *p.store, .expiry = p.expiry}, counters_);
       store_->open();
     }
     progress_front_ = std::make_unique<ProgressFront>(loop_, engine_, front_, config_.names, hook_.get(), store_.get(),
-                                                      ProgressFront::Settings{.heartbeat = progress_.heartbeat}, counters_);
+                                                      ProgressFront::Settings{.heartbeat = p.heartbeat}, counters_);
     progress_server_ = std::make_unique<Server>(loop_, *progress_front_, budget_.inbound / 3, counters_);
     progress_server_->on_pressure = server_.on_pressure;
-    progress_server_->listen(need_address(progress_.listen, "listen"));
-    std::fprintf(stderr, "keelflow: %s tells progress on %s\n", config_.name.c_str(),
-                 progress_server_->address().text().c_str());
+    progress_server_->listen(*p.listen);
+    log::info(Subsystem::progress, "listens", {{"name", config_.name}, {"address", progress_server_->address().text()}});
+  }
+
+  void open_admin() {
+    admin_front_ = std::make_unique<AdminFront>(traffic_, [this] { return status(); }, counters_);
+    admin_server_ = std::make_unique<Server>(loop_, *admin_front_, kAdminConnections, counters_);
+    admin_server_->listen(own_.admin.socket);
+    log::info(Subsystem::admin, "listens", {{"name", config_.name}, {"socket", own_.admin.socket}});
+  }
+
+  nlohmann::json status() {
+    counters_.log_dropped = log::dropped();
+    nlohmann::json counters = nlohmann::json::object();
+#define X(name) counters[#name] = counters_.name;
+    KEELFLOW_COUNTERS(X)
+#undef X
+    return {{"name", config_.name}, {"address", server_.address().text()}, {"version", KEELFLOW_VERSION},
+            {"draining", counters_.drain_stage > 0}, {"open_requests", engine_.open_requests()},
+            {"open_attempts", engine_.open_attempts()}, {"counters", counters}};
   }
 
-  // SIGHUP: the file may name another discovery, and the node moves there. All else in it (the address to listen
-  // on, limits, settings) holds until a restart. A file that is bad or missing changes nothing.
+  // SIGHUP: the platform's file may name another discovery, and the node moves there; all else in it (the address to
+  // listen on, limits, settings) holds until a restart. Of our own file pools, routes, moves and the log are taken
+  // over, and what listens holds until a restart. Both are read before anything changes: a bad one changes nothing.
   void reload() {
+    log::reopen();
     try {
-      destinations_.move(read_config(path_).discovery);
+      Config fresh = read_config(files_.platform);
+      config::Own own = config::read_own(files_.own, !files_.own_given);
+      traffic_.check(own.routes);
+      traffic_.configure(own.routes, own.moves);
+      if (own.log.json != own_.log.json || own.log.file != own_.log.file || own.log.level != own_.log.level ||
+          own.log.levels != own_.log.levels)
+        log::open(own.log);
+      own_ = std::move(own);
+      destinations_.move(fresh.discovery);
       ++counters_.reloads;
+      log::info(Subsystem::node, "reloaded");
     } catch (const std::exception& fault) {
       ++counters_.reloads_failed;
-      std::fprintf(stderr, "keelflow: the new configuration is passed over: %s\n", fault.what());
+      log::error(Subsystem::node, "reload-refused", {{"fault", fault.what()}});
     }
   }
 
@@ -138,7 +175,7 @@
   void drain() {
     if (counters_.drain_stage > 0) return;
     counters_.drain_stage = 1;
-    std::fprintf(stderr, "keelflow: told to end\n");
+    log::info(Subsystem::node, "told-to-end");
     TimePoint told = loop_.now();
     loop_.at(told + kForgiven, [this, told] {
       counters_.drain_stage = 2;
@@ -161,14 +198,15 @@
     loop_.at(loop_.now() + kDrainCheck, [this] { check_drained(); });
   }
 
-  std::string path_;
+  NodeFiles files_;
   Config config_;
-  ProgressConfig progress_;
+  config::Own own_;
   Budget budget_;
   Counters counters_;
   UnixClock clock_;
   net::EventLoop loop_;
   Engine engine_;
+  Traffic traffic_;
   DestinationSet destinations_;
   Pool pool_;
   Outbound outbound_;
@@ -178,22 +216,35 @@
   std::unique_ptr<Store> store_;
   std::unique_ptr<ProgressFront> progress_front_;
   std::unique_ptr<Server> progress_server_;
+  std::unique_ptr<AdminFront> admin_front_;
+  std::unique_ptr<Server> admin_server_;
   Signals signals_;
 };
 
 }  // namespace
-}  // namespace keelflow
 
-int main() {
+void block_signals() {
+  sigset_t set = signals();
+  sigprocmask(SIG_BLOCK, &set, nullptr);
+}
+
+int run_node(const NodeFiles& files) {
+  std::signal(SIGPIPE, SIG_IGN);
+  block_signals();
+  if (files.platform.empty()) throw ConfigError("EDGE_CONFIG is not set");
+  config::Own own = config::read_own(files.own, !files.own_given);
+  Config config = read_config(files.platform);
+  log::open(own.log);
+  int code = 0;
   try {
-    std::signal(SIGPIPE, SIG_IGN);
-    keelflow::block_signals();
-    const char* path = std::getenv("EDGE_CONFIG");
-    if (!path) throw keelflow::ConfigError("EDGE_CONFIG is not set");
-    keelflow::Node node(path, keelflow::read_config(path), keelflow::read_progress_config("deploy/progress.toml"));
-    return node.run();
-  } catch (const std::exception& fault) {
-    std::fprintf(stderr, "keelflow: %s\n", fault.what());
-    return 2;
+    Node node(files, std::move(config), std::move(own));
+    code = node.run();
+  } catch (...) {
+    log::close();
+    throw;
   }
+  if (!log::close()) _exit(code);  // its thread is stuck in a write that nobody reads, and cannot be joined
+  return code;
 }
+
+}  // namespace keelflow
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -84,11 +84,6 @@
   double hint_sum = 0, hint_count = 0;
 };
 
-struct Share {
-  double left = 0;
-  Time filled = 0;
-};
-
 struct KindState {
   SampledSet pools[kPools];
   std::map<std::uint64_t, WorkerId> ring;  // ready workers by hash
@@ -111,7 +106,7 @@
   int home_ranks = 1;  // a worker is at home with so many dispatchers
   std::vector<ClassState> classes;
   std::vector<KindState> kinds;
-  std::vector<Share> shares;  // by tenant
+  std::shared_ptr<TenantShares> shares;
   std::size_t held_count = 0;
   std::map<std::uint64_t, double> key_count;  // how often each key was met of late
   double key_total = 0;
@@ -127,11 +122,12 @@
   bool subscribed = false, asking = false;
   double ask_backoff = 0;
 
-  Impl(const Settings& settings, std::uint64_t seed) : s(settings), random(seed) {
+  Impl(const Settings& settings, std::uint64_t seed, std::shared_ptr<TenantShares> given)
+      : s(settings), random(seed), shares(given ? std::move(given) : std::make_shared<TenantShares>()) {
     validate(s);
     classes.resize(s.classes.size());
     kinds.resize(at(s.kinds));
-    shares.resize(s.tenant_quota.size());
+    shares->buckets.resize(s.tenant_quota.size());
     for (const auto& c : s.classes)
       if (c.kind >= 0) kinds[at(c.kind)].reserved = true;
     start_delay.assign(at(s.zones), 0.0);
@@ -435,8 +431,8 @@
   // The tier factor S_tenant: a tenant's share, split evenly over the dispatchers, is a bucket that fills
   // with time. A job that finds it empty counts as larger by as much as it is worth less.
   bool within_share(int tenant) {
-    if (tenant < 0 || at(tenant) >= shares.size() || s.over_share_worth >= 1) return true;
-    Share& share = shares[at(tenant)];
+    if (tenant < 0 || at(tenant) >= shares->buckets.size() || s.over_share_worth >= 1) return true;
+    TenantShares::Bucket& share = shares->buckets[at(tenant)];
     double rate = s.tenant_quota[at(tenant)] / s.dispatchers / 1000;
     share.left = std::min(share.left + rate * (now - share.filled), std::max(1.0, kShareSpan * rate));
     share.filled = now;
@@ -671,8 +667,8 @@
   }
 };
 
-Dispatcher::Dispatcher(const Settings& settings, std::uint64_t seed)
-    : impl_(std::make_unique<Impl>(settings, seed)) {}
+Dispatcher::Dispatcher(const Settings& settings, std::uint64_t seed, std::shared_ptr<TenantShares> shares)
+    : impl_(std::make_unique<Impl>(settings, seed, std::move(shares))) {}
 Dispatcher::~Dispatcher() = default;
 Dispatcher::Dispatcher(Dispatcher&&) noexcept = default;
 Dispatcher& Dispatcher::operator=(Dispatcher&&) noexcept = default;
--- /dev/null
+++ b/tests/logic/router_test.cpp
@@ -0,0 +1,283 @@
+#include "routes/router.h"
+
+#include <gtest/gtest.h>
+
+#include <array>
+#include <map>
+#include <random>
+#include <set>
+
+namespace keelflow::routes {
+namespace {
+
+using reedlb::ListScope;
+using reedlb::WorkerEntry;
+using reedlb::WorkerList;
+using reedlb::WorkerState;
+
+constexpr double kCold = 20'000, kRest = 2'000;
+const NameLists kNames{{"price", "hold", "sale"}, {"river", "main"}, {"east", "west"}, {"fast", "slow"}};
+
+std::vector<reedlb::ClassSettings> classes() {
+  std::vector<reedlb::ClassSettings> out(3);
+  out[1].effect = reedlb::Effect::keyed;
+  out[1].window_ms = 5000;
+  out[2].effect = reedlb::Effect::unsafe;
+  return out;
+}
+
+Spec two_pools(double old_weight, double new_weight) {
+  Spec spec;
+  spec.pools = {{"new", {}, {}, {"n"}, {}}, {"old", {}, {}, {}, {}}};
+  spec.routes = {{"all", {}, {}, {}, {{"old", old_weight}, {"new", new_weight}}, false}};
+  return spec;
+}
+
+struct Fleet {
+  std::map<reedlb::WorkerId, std::string> names;
+  WorkerList list;
+  Fleet& add(reedlb::WorkerId id, std::string name, double born = 0, WorkerState state = WorkerState::ready) {
+    names[id] = std::move(name);
+    list.entries.push_back({id, 0, 0, 0, state, 1, born});
+    return *this;
+  }
+  Router::Lists tell(Router& router, double now) {
+    return router.split(list, [this](reedlb::WorkerId id) { return std::string_view(names[id]); }, now);
+  }
+};
+
+Router make(Spec spec) { return Router(std::move(spec), kNames, classes(), {kCold, kRest}); }
+
+Query query(std::uint64_t object, int cls = 0) {
+  Query q;
+  q.cls = cls;
+  q.object = object;
+  q.patience_ms = 1000;
+  return q;
+}
+
+const WorkerEntry* find(const Router::Lists& lists, int pool, reedlb::WorkerId worker) {
+  for (const auto& [told, list] : lists)
+    if (told == pool)
+      for (const auto& entry : list.entries)
+        if (entry.worker == worker) return &entry;
+  return nullptr;
+}
+
+TEST(Router, AnEndpointBelongsToTheFirstPoolThatFitsIt) {
+  Spec spec;
+  spec.pools = {{"both", {"east"}, {"fast"}, {}, {}}, {"blocks", {}, {}, {}, {3, 4}}, {"hosts", {}, {}, {"n-", "m-"}, {}}};
+  spec.routes = {{"all", {}, {}, {}, {{"both", 1}}, false}};
+  Router router = make(spec);
+  std::map<reedlb::WorkerId, std::string> names{{1, "a"}, {2, "a"}, {3, "m-1"}, {4, "a"}};
+  WorkerList list;
+  list.entries = {{1, 0, 0, 3, WorkerState::ready, 1, 0}, {2, 0, 1, 3, WorkerState::ready, 1, 0},
+                  {3, 1, 1, 9, WorkerState::ready, 1, 0}, {4, 1, 0, 9, WorkerState::ready, 1, 0}};
+  auto told = router.split(list, [&](reedlb::WorkerId id) { return std::string_view(names[id]); }, 1000);
+  EXPECT_TRUE(find(told, 0, 1));
+  EXPECT_TRUE(find(told, 1, 2));
+  EXPECT_TRUE(find(told, 2, 3));
+  EXPECT_EQ(router.unassigned(), 1);
+  std::map<reedlb::WorkerId, int> count;
+  for (const auto& [pool, part] : told)
+    for (const auto& entry : part.entries) ++count[entry.worker];
+  for (const auto& [worker, times] : count) EXPECT_EQ(times, 1) << worker;
+}
+
+TEST(Router, AStepMovesTheAddedShareAndNothingBack) {
+  Router router = make(two_pools(100, 0));
+  Fleet().add(1, "o1").add(2, "n1").tell(router, 0);
+  std::set<std::uint64_t> moved;
+  for (double share : {0.01, 0.05, 0.10, 0.25, 0.50, 1.0}) {
+    router.shift(0, 1, 0, share);
+    std::size_t before = moved.size();
+    for (std::uint64_t object = 1; object <= 20'000; ++object) {
+      bool now_new = router.choose(query(object), 0).pool == 0;
+      ASSERT_TRUE(now_new || !moved.contains(object)) << object << " went back at " << share;
+      if (now_new) moved.insert(object);
+    }
+    EXPECT_GT(moved.size(), before);
+    EXPECT_NEAR(static_cast<double>(moved.size()) / 20'000, share, 0.012);
+  }
+}
+
+TEST(Router, AMoveBetweenTwoPoolsLeavesTheThirdsTrafficAlone) {
+  Spec spec = two_pools(50, 0);
+  spec.pools.insert(spec.pools.begin(), {"third", {}, {}, {"t"}, {}});
+  spec.routes[0].to = {{"old", 50}, {"third", 50}, {"new", 0}};
+  Router router = make(spec);
+  Fleet().add(1, "o1").add(2, "n1").add(3, "t1").tell(router, 0);
+  router.shift(0, router.pool("old"), router.pool("new"), 0);
+  std::map<std::uint64_t, int> before;
+  for (std::uint64_t object = 1; object <= 5000; ++object) before[object] = router.choose(query(object), 0).pool;
+  router.shift(0, router.pool("old"), router.pool("new"), 0.4);
+  int moved = 0;
+  for (auto [object, pool] : before) {
+    int now_in = router.choose(query(object), 0).pool;
+    EXPECT_EQ(pool == router.pool("third"), now_in == router.pool("third"));
+    moved += now_in == router.pool("new");
+  }
+  EXPECT_NEAR(moved / 5000.0, 0.5 * 0.4, 0.02);
+}
+
+TEST(Router, WithoutAnObjectAFurtherTryGoesByItsIdempotencyKey) {
+  Router router = make(two_pools(50, 50));
+  Fleet().add(1, "o1").add(2, "n1").tell(router, 0);
+  int apart = 0;
+  for (int i = 0; i < 200; ++i) {
+    std::string key = "k" + std::to_string(i), first = "a" + std::to_string(i), second = "b" + std::to_string(i);
+    Query a, b;
+    a.idempotency_key = b.idempotency_key = key;
+    a.id = first, b.id = second;
+    ASSERT_EQ(router.choose(a, 0).pool, router.choose(b, 0).pool);
+    a.idempotency_key = b.idempotency_key = "";
+    apart += router.choose(a, 0).pool != router.choose(b, 0).pool;
+  }
+  EXPECT_GT(apart, 50);  // by ids alone they would not: the test could fail
+}
+
+TEST(Router, AKeyedRequestsFurtherTryKeepsItsPoolForItsWindow) {
+  Router router = make(two_pools(100, 0));
+  Fleet().add(1, "o1").add(2, "n1").tell(router, 0);
+  router.shift(0, 1, 0, 1.0);
+  Query hold = query(7, 1);
+  hold.idempotency_key = "k";
+  ASSERT_EQ(router.choose(hold, 1000).pool, 0);
+  router.shift(0, 1, 0, 0.0);  // undone
+  Choice again = router.choose(hold, 3000);
+  EXPECT_EQ(again.pool, 0);
+  EXPECT_TRUE(again.kept);
+  EXPECT_EQ(router.choose(query(7, 0), 3000).pool, 1);  // another class of the same object goes by weight
+  // The window counts from the latest that a try may have been sent: 3000 + patience + window.
+  EXPECT_TRUE(router.choose(hold, 8900).kept);
+  EXPECT_FALSE(router.choose(hold, 8900 + 1000 + 5000 + 1).kept);
+}
+
+TEST(Router, RoutesByClassTenantAndPathInTheirOrder) {
+  Spec spec = two_pools(100, 0);
+  spec.routes = {{"sales", {"sale"}, {"main"}, {}, {{"new", 1}}, false},
+                 {"books", {}, {}, {"/price/books"}, {{"new", 1}}, false},
+                 {"rest", {}, {}, {}, {{"old", 1}}, false}};
+  Router router = make(spec);
+  Fleet().add(1, "o1").add(2, "n1").tell(router, 0);
+  Query q = query(1, 2);
+  q.path = "/sale/x";
+  EXPECT_EQ(router.choose(q, 0).route, 2);
+  q.tenant = 1;
+  EXPECT_EQ(router.choose(q, 0).route, 0);
+  q.cls = 0;
+  q.path = "/price/books/1";
+  EXPECT_EQ(router.choose(q, 0).route, 1);
+}
+
+TEST(Router, APoolWithNothingReadyOrAllColdSpillsToOneThatHasBetter) {
+  Router router = make(two_pools(0, 100));
+  Fleet().add(1, "o1").tell(router, 0);
+  EXPECT_TRUE(router.choose(query(1), 0).spilled);
+  EXPECT_EQ(router.choose(query(1), 0).pool, 1);
+  Fleet().add(1, "o1").add(2, "n1", 10'000).tell(router, 11'000);
+  EXPECT_EQ(router.choose(query(1), 11'000).pool, 1) << "cold boxes get no share while others are warm";
+  EXPECT_EQ(router.choose(query(1), 10'000 + kCold + 200).pool, 0) << "warm by the clock alone, without a list";
+  Fleet().add(2, "n1", 40'000).tell(router, 41'000);
+  EXPECT_EQ(router.choose(query(1), 41'000).pool, 0) << "cold is better than nothing";
+}
+
+TEST(Router, AKeyedRequestIsNotSpilledAwayFromWhereItMayHaveRun) {
+  Router router = make(two_pools(0, 100));
+  Fleet().add(1, "o1").add(2, "n1").tell(router, 0);
+  Query hold = query(1, 1);
+  hold.idempotency_key = "k";
+  ASSERT_EQ(router.choose(hold, 0).pool, 0);
+  Fleet().add(1, "o1").tell(router, 100);
+  EXPECT_EQ(router.choose(hold, 200).pool, 0);
+  EXPECT_EQ(router.choose(query(1), 200).pool, 1);
+}
+
+TEST(Router, AColdEndpointThatChangesPoolsRestsAWindowInBetween) {
+  Router router = make(two_pools(100, 0));
+  Fleet fleet;
+  fleet.add(1, "o1", 1000).add(2, "o2", 0);
+  auto told = fleet.tell(router, 2000);
+  ASSERT_TRUE(find(told, 1, 1) && find(told, 1, 2));
+  fleet.names = {{1, "n1"}, {2, "n2"}};
+  fleet.list.scope = ListScope::delta;
+  told = fleet.tell(router, 3000);
+  ASSERT_TRUE(find(told, 1, 1)) << "the old pool hears that it is gone";
+  EXPECT_EQ(find(told, 1, 1)->state, WorkerState::gone);
+  EXPECT_FALSE(find(told, 0, 1)) << "rule 4's window is not over";
+  EXPECT_TRUE(find(told, 0, 2)) << "a warm one joins at once";
+  ASSERT_TRUE(router.next_due());
+  EXPECT_EQ(*router.next_due(), 3000 + kRest);
+  EXPECT_TRUE(router.due(3000 + kRest - 1).empty());
+  told = router.due(3000 + kRest);
+  ASSERT_TRUE(find(told, 0, 1));
+  EXPECT_EQ(find(told, 0, 1)->state, WorkerState::ready);
+  EXPECT_FALSE(router.next_due());
+}
+
+TEST(Router, AnotherSpecKeepsNumbersAndRunsOutOfThemPlainly) {
+  Router router = make(two_pools(100, 0));
+  Fleet fleet;
+  fleet.add(1, "o1").add(2, "n1").tell(router, 0);
+  Spec spec = two_pools(100, 0);
+  spec.pools.insert(spec.pools.begin(), {"extra", {}, {}, {"n1"}, {}});
+  auto lists = router.replace(spec, 100);
+  ASSERT_TRUE(lists);
+  EXPECT_EQ(router.pool("new"), 0);
+  EXPECT_EQ(router.pool("extra"), 2);
+  EXPECT_TRUE(find(*lists, 2, 2));
+  EXPECT_FALSE(find(*lists, 0, 2));
+  for (int i = 0; router.numbers() < static_cast<int>(kMostPools); ++i) {
+    spec.pools[0].name = "extra" + std::to_string(i);
+    ASSERT_TRUE(router.replace(spec, 100));
+  }
+  spec.pools[0].name = "one too many";
+  EXPECT_FALSE(router.replace(spec, 100));
+  EXPECT_EQ(router.pool("one too many"), -1);
+}
+
+TEST(Router, WithOnePoolItTellsWhatItIsTold) {
+  Spec spec;
+  spec.pools = {{"all", {}, {}, {}, {}}};
+  spec.routes = {{"all", {}, {}, {}, {{"all", 1}}, false}};
+  Router router = make(spec);
+  std::mt19937 random(3);
+  for (int i = 0; i < 200; ++i) {
+    Fleet fleet;
+    for (reedlb::WorkerId w = 1; w <= 20; ++w)
+      if (random() % 3) fleet.add(w, "h", 0, random() % 4 ? WorkerState::ready : WorkerState::draining);
+    fleet.list.scope = std::array{ListScope::cached, ListScope::full, ListScope::delta, ListScope::failed}[random() % 4];
+    auto told = fleet.tell(router, i);
+    ASSERT_EQ(told.size(), 1u);
+    EXPECT_EQ(told[0].second.scope, fleet.list.scope);
+    std::size_t count = fleet.list.scope == ListScope::failed ? 0 : fleet.list.entries.size();
+    ASSERT_EQ(told[0].second.entries.size(), count);
+    for (std::size_t k = 0; k < count; ++k) EXPECT_EQ(told[0].second.entries[k].worker, fleet.list.entries[k].worker);
+  }
+}
+
+TEST(Router, FaultsOfASpecAreAllNamed) {
+  Spec spec = two_pools(0, 0);
+  spec.pools.push_back({"old", {}, {}, {}, {}});
+  spec.routes.push_back({"x", {"sale"}, {}, {}, {{"none", 1}}, false});
+  EXPECT_EQ(faults(spec).size(), 5u);  // a second "old", weights of zero, "all" before "x", no pool "none", "x" last
+  EXPECT_TRUE(faults(two_pools(1, 1)).empty());
+  spec = two_pools(1, 1);
+  spec.pools[0].sites = {"north"};
+  spec.routes[0].classes = {"gift"};
+  EXPECT_EQ(unknown_names(spec, kNames).size(), 2u);
+}
+
+TEST(KeyMemory, IsOfFixedSizeAndCountsWhatItForgets) {
+  KeyMemory memory(1024);
+  std::mt19937_64 random(5);
+  for (int i = 0; i < 100'000; ++i) memory.put(random(), 1, 10'000, i * 0.001);
+  EXPECT_EQ(memory.capacity(), 1024u);
+  EXPECT_GT(memory.forgotten(), 90'000u);
+  KeyMemory calm(1024);
+  for (int i = 0; i < 100'000; ++i) calm.put(random(), 1, i + 50, i);
+  EXPECT_LT(calm.forgotten(), 100u);  // expired entries are no loss; now and then five live ones meet in a bucket
+}
+
+}  // namespace
+}  // namespace keelflow::routes
--- a/tests/node/progress_test.cpp
+++ b/tests/node/progress_test.cpp
@@ -18,7 +18,7 @@
 
 Options with(const std::string& script = "", bool store = false) {
   Options options;
-  options.progress = "heartbeat_s = 0.3";
+  options.progress = "(heartbeat 300ms)";
   options.script = script;
   options.store = store;
   return options;
--- a/tests/node/scenario.cpp
+++ b/tests/node/scenario.cpp
@@ -7,6 +7,7 @@
 #include <signal.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
+#include <sys/un.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -86,13 +87,15 @@
                            {"settings", settings}};
   std::ofstream(folder_ + "/config.json") << (config_ = config.dump());
   std::filesystem::create_directory(folder_ + "/deploy");
+  std::string own = options.own;
   if (!options.progress.empty()) {
-    std::ofstream file(folder_ + "/deploy/progress.toml");
-    file << "listen = \"127.0.0.1:0\"\n" << options.progress << "\n";
-    if (!options.script.empty()) file << "hook = \"deploy/progress.lua\"\n";
-    if (options.store) file << "store = \"127.0.0.1:" << ports_["redis"] << "\"\n";
+    own += "(progress (listen \"127.0.0.1:0\") " + options.progress;
+    if (!options.script.empty()) own += " (hook \"deploy/progress.lua\")";
+    if (options.store) own += " (store \"127.0.0.1:" + std::to_string(ports_["redis"]) + "\")";
+    own += ")\n";
     std::ofstream(folder_ + "/deploy/progress.lua") << options.script;
   }
+  if (!own.empty()) std::ofstream(folder_ + "/deploy/keelflow.sexp") << own;
   int ends[2];
   if (pipe2(ends, O_CLOEXEC) != 0) throw std::runtime_error("pipe");
   log_ = ends[0];
@@ -108,21 +111,16 @@
   close(ends[1]);
   auto port_after = [&](const std::string& words) {
     auto until = Clock::now() + kLimit;
-    char piece[4096];
     while (Clock::now() < until) {
       auto at = log_text_.find(words);
       auto end = at == std::string::npos ? at : log_text_.find('\n', at);
       if (end != std::string::npos) return std::stoi(log_text_.substr(log_text_.rfind(':', end) + 1));
-      pollfd ready{log_, POLLIN, 0};
-      poll(&ready, 1, 1000);
-      ssize_t got = ready.revents ? read(log_, piece, sizeof piece) : 0;
-      if (got > 0) log_text_.append(piece, static_cast<std::size_t>(got));
-      else if (ready.revents) break;
+      if (!read_log(until)) break;
     }
     throw std::runtime_error("the program did not start: " + log_text_);
   };
-  node_port_ = port_after("n1 listens on");
-  if (!options.progress.empty()) progress_port_ = port_after("n1 tells progress on");
+  node_port_ = port_after("subsystem=node event=listens");
+  if (!options.progress.empty()) progress_port_ = port_after("subsystem=progress event=listens");
 }
 
 Scenario::~Scenario() {
@@ -156,6 +154,30 @@
   }
 }
 
+// False: the time is up, or the program has ended.
+bool Scenario::read_log(Clock::time_point until) {
+  char piece[4096];
+  pollfd ready{log_, POLLIN, 0};
+  auto left = std::chrono::ceil<std::chrono::milliseconds>(until - Clock::now()).count();
+  if (poll(&ready, 1, static_cast<int>(std::max<std::int64_t>(0, left))) <= 0) return false;
+  ssize_t got = read(log_, piece, sizeof piece);
+  if (got > 0) log_text_.append(piece, static_cast<std::size_t>(got));
+  return got > 0;
+}
+
+void Scenario::command(int code, const std::string& arguments) {
+  std::string call = "cd " + folder_ + " && " KEELFLOW_PROGRAM " " + arguments + " 2>&1";
+  FILE* pipe = popen(call.c_str(), "r");
+  Line& out = lines_["cli"];
+  out = {};
+  out.ended = true;
+  char piece[4096];
+  for (std::size_t got; (got = fread(piece, 1, sizeof piece, pipe)) > 0;) out.unread.append(piece, got);
+  int status = pclose(pipe);
+  ASSERT_TRUE(WIFEXITED(status)) << out.unread;
+  ASSERT_EQ(WEXITSTATUS(status), code) << out.unread;
+}
+
 Scenario::Line& Scenario::line(const std::string& name) {
   auto it = lines_.find(name);
   if (it == lines_.end()) throw std::runtime_error("no connection '" + name + "'");
@@ -229,11 +251,14 @@
       whole = true;
       continue;
     }
-    auto colon = word.find(':'), second = word.find(':', colon + 1);
-    std::string host = word.substr(0, colon), state = word.substr(colon + 1, second - colon - 1);
-    std::string place = second == std::string::npos ? host : word.substr(second + 1);
+    std::vector<std::string> parts;
+    std::istringstream fields(word);
+    for (std::string part; std::getline(fields, part, ':');) parts.push_back(part);
+    std::string host = parts.at(0), state = parts.at(1), place = parts.size() > 2 ? parts[2] : host;
+    auto unix_ms = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch());
+    std::int64_t born = parts.size() > 3 ? unix_ms.count() - std::stoll(parts[3]) : 0;
     hosts.push_back({{"host", host}, {"dial", "127.0.0.1:" + std::to_string(port(place))}, {"site", "east"},
-                     {"class", "fast"}, {"block", 1}, {"health", state}, {"share", 1.0}, {"born_ms", 0}});
+                     {"class", "fast"}, {"block", 1}, {"health", state}, {"share", 1.0}, {"born_ms", born}});
   }
   nlohmann::json told = {{"seq", ++version_}, {"whole", whole}, {"hosts", hosts}};
   send(line("disco"), message("chunk " + told.dump() + "\\n"));
@@ -247,6 +272,15 @@
   if (verb == "open") {
     std::string where;
     in >> where;
+    if (where == "admin") {
+      sockaddr_un path{};
+      path.sun_family = AF_UNIX;
+      (folder_ + "/admin").copy(path.sun_path, sizeof path.sun_path - 1);
+      int own = socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0);
+      ASSERT_EQ(connect(own, reinterpret_cast<sockaddr*>(&path), sizeof path), 0) << strerror(errno);
+      lines_[name] = {own, "", false};
+      return;
+    }
     sockaddr_in to = loopback(where == "progress" ? progress_port_ : node_port_);
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     ASSERT_EQ(connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof to), 0) << strerror(errno);
@@ -321,6 +355,16 @@
     if (ports_.contains(name)) config["discovery"] = "127.0.0.1:" + std::to_string(port(name));
     std::ofstream(folder_ + "/config.new") << (ports_.contains(name) ? config.dump() : name);
     std::filesystem::rename(folder_ + "/config.new", folder_ + "/config.json");
+  } else if (verb == "own") {
+    std::ofstream(folder_ + "/own.new") << name + " " + rest_of(in);
+    std::filesystem::rename(folder_ + "/own.new", folder_ + "/deploy/keelflow.sexp");
+  } else if (verb == "cli") {
+    command(std::stoi(name), rest_of(in));
+  } else if (verb == "log") {
+    std::string want = name + (in.eof() ? "" : " " + rest_of(in));
+    std::size_t at;
+    while ((at = log_text_.find(want, log_at_)) == std::string::npos) ASSERT_TRUE(read_log(until)) << "not logged:\n" << log_text_;
+    log_at_ = at + want.size();
   } else if (verb == "exit") {
     int status = 0;
     while (waitpid(program_, &status, WNOHANG) == 0) {
--- a/tests/node/scenario.h
+++ b/tests/node/scenario.h
@@ -1,6 +1,6 @@
 // A small language for tests of the node: each line says what a client, an endpoint or discovery does or must see.
 //
-//   open NAME [progress]        connect to the node (or to its progress front)
+//   open NAME [progress|admin]  connect to the node (or to its progress front, or its admin socket)
 //   accept NAME PLACE           wait until the node connects to a stand-in: disco, box, box2 or redis
 //   send NAME TEXT              \r \n \\ as in C; at the start of TEXT, "job ID CLASS PATIENCE" and "stream ..."
 //                               stand for a whole request, "ok 202" for a whole answer, "chunk ..." for one chunk
@@ -10,12 +10,16 @@
 //   close NAME | reset NAME     end the connection, with FIN or with RST
 //   closed NAME [SECONDS]       wait until the node ends it, so long at most
 //   news ID FROM STATE [JSON]   a call-back on a connection of its own, which must be answered 200
-//   list HOST:STATE[:PLACE] ... discovery tells these entries; the word "whole" before them: the whole list
+//   list HOST:STATE[:PLACE[:AGE]] ...  discovery tells these entries, started AGE ms ago; "whole" before them: all there is
 //   wait COUNTER VALUE          wait until the counter has that value (or more, with VALUE+)
 //   report ID FROM SHARE ...    a box at its usual pace: a progress call-back, a second, the next, ...
 //   stop PLACE                  the stand-in no longer listens
 //   signal NAME                 TERM, HUP or USR1 to the program
 //   config PLACE | config TEXT  the configuration file is replaced: discovery is at that place; or the file is TEXT
+//   own TEXT                    deploy/keelflow.sexp is replaced
+//   cli CODE ARGUMENTS          the command line is run beside the node and ends with that code; what it prints comes
+//                               on the connection "cli"
+//   log TEXT                    wait until the program has logged that
 //   exit CODE                   wait until the program has ended with that code
 //
 // Every wait has one long limit and ends as soon as its condition holds, so that a verdict does not depend on speed.
@@ -32,7 +36,8 @@
 namespace keelflow::test {
 
 struct Options {
-  std::string progress;         // lines for deploy/progress.toml; "listen" is set where this is not empty
+  std::string progress;         // settings of (progress ...); "listen" is set where this is not empty
+  std::string own;              // more of deploy/keelflow.sexp
   std::string script;           // the hook
   std::string settings;         // JSON merged over the usual settings
   int sockets = 1024;           // the descriptor limit of the process too
@@ -61,11 +66,14 @@
   std::string counter(const std::string& name);
   std::string message(std::string text) const;
   void list(const std::string& words);
+  void command(int code, const std::string& arguments);
+  bool read_log(Clock::time_point until);  // one piece
 
   std::string folder_, config_;
   pid_t program_ = -1;
   int log_ = -1;
   std::string log_text_;
+  std::size_t log_at_ = 0;  // what `log` has not yet seen
   int node_port_ = 0, progress_port_ = 0;
   std::map<std::string, int> listeners_, ports_;
   std::map<std::string, Line> lines_;
--- /dev/null
+++ b/tests/node/traffic_test.cpp
@@ -0,0 +1,178 @@
+// One pool or none: the same actions, event for event. And what Dispatchers of one node share.
+#include <gtest/gtest.h>
+
+#include <map>
+#include <random>
+
+#include "core/engine.h"
+#include "routes/traffic.h"
+
+namespace keelflow {
+namespace {
+
+using namespace std::chrono_literals;
+
+// A small world on a clock of its own, which writes down all that the Engine does.
+class World final : EndpointPort, DestinationPort, TimerPort {
+ public:
+  World(unsigned seed, const UnixClock& clock, TimePoint start, bool one_pool)
+      : random_(seed), now_(start), engine_(settings(), 42, {1000, 4ms}, *this, clock, counters_),
+        traffic_(*this, clock, engine_, {Names{{"price", "hold", "sale"}, {"a", "b"}, {"east"}, {"fast"}}, settings()}, counters_),
+        destinations_(loop_, {}, {}, [](reedlb::WorkerList) {}, counters_) {
+    engine_.connect(*this, *this);
+    traffic_.connect(destinations_);
+    routes::Spec spec;
+    if (one_pool) {
+      spec.pools.push_back({.name = "only", .sites = {}, .kinds = {}, .hosts = {}, .blocks = {}});
+      spec.routes.push_back({.name = "r", .classes = {}, .tenants = {}, .paths = {}, .to = {{"only", 1}}});
+    }
+    traffic_.configure(spec, {});
+  }
+
+  std::vector<std::string> play(int events) {
+    list(reedlb::ListScope::full);
+    for (int i = 0; i < events; ++i) {
+      advance(now_ + std::chrono::microseconds(random_() % 30'000));
+      if (random_() % 50 == 0) list(random_() % 3 == 0 ? reedlb::ListScope::full : reedlb::ListScope::delta);
+      else arrive(i);
+    }
+    advance(now_ + 20s);
+    return trace_;
+  }
+
+ private:
+  struct Client final : Asker {
+    Client(World& w, int n) : world(w), number(n) {}
+    void on_final(FinalAnswer answer) override {
+      world.note("answer " + std::to_string(number) + " " + std::to_string(static_cast<int>(answer.kind)));
+    }
+    World& world;
+    int number;
+  };
+
+  static reedlb::Settings settings() {
+    reedlb::Settings s;
+    s.classes.resize(3);
+    for (auto& c : s.classes) c.target_ms = 300, c.stretch = 2;
+    s.classes[1].effect = reedlb::Effect::keyed;
+    s.classes[1].window_ms = 3000;
+    s.classes[2].effect = reedlb::Effect::unsafe;
+    s.tenant_quota = {20, 20};
+    s.over_share_worth = 0.2;
+    s.tick_ms = 4;
+    s.try_limit = 3;
+    s.tells_start = true;
+    s.cold_from = 0.2, s.cold_ms = 5000, s.fall_multiple = 3, s.fall_ms = 1000;
+    return s;
+  }
+
+  void note(const std::string& what) { trace_.push_back(std::to_string((now_ - TimePoint{}).count()) + " " + what); }
+
+  void arrive(int n) {
+    Job job;
+    job.id = "r" + std::to_string(n);
+    job.cls = static_cast<int>(random_() % 3);
+    job.tenant = static_cast<int>(random_() % 2);
+    job.key = random_() % 2 ? random_() % 50 : 0;
+    job.patience = std::chrono::milliseconds(200 + random_() % 2000);
+    job.hint = std::chrono::microseconds(10'000 + random_() % 100'000);
+    clients_.push_back(std::make_unique<Client>(*this, n));
+    engine_.take(std::move(job), *clients_.back());
+  }
+
+  void list(reedlb::ListScope scope) {
+    reedlb::WorkerList told;
+    told.scope = scope;
+    for (reedlb::WorkerId w = 1; w <= 12; ++w)
+      if (scope == reedlb::ListScope::full ? random_() % 8 > 0 : random_() % 4 == 0) {
+        auto state = random_() % 6 == 0 ? reedlb::WorkerState::draining : reedlb::WorkerState::ready;
+        told.entries.push_back({w, 0, 0, static_cast<int>(w / 4), state, 1, 0});
+      }
+    traffic_.list(std::move(told));
+  }
+
+  void start(AttemptRef ref, WorkerId worker, const Job& job, TimePoint) override {
+    note("send " + job.id + " to " + std::to_string(worker));
+    Duration wait = std::chrono::microseconds(random_() % 20'000), run = std::chrono::microseconds(random_() % 200'000);
+    unsigned what = random_() % 12;
+    at(now_ + wait, [this, ref] { engine_.attempt_started(ref); });
+    at(now_ + wait + run, [this, ref, what] {
+      Ending ending = what == 0 ? Ending::turned_away : what == 1 ? Ending::error : what == 2 ? Ending::broken : Ending::served;
+      engine_.attempt_ended(ref, {.ending = ending, .reach = what == 2 ? Reach::fully_written : Reach::accepted});
+    });
+  }
+  void give_up(AttemptRef ref) override {
+    note("give up " + std::to_string(ref.request));
+    at(now_ + 1ms, [this, ref] { engine_.attempt_ended(ref, {.ending = Ending::cancelled}); });
+  }
+  void probe(WorkerId) override {}
+  void subscribe() override {}
+  TimePoint now() const override { return now_; }
+  TimerId at(TimePoint when, std::function<void()> task) override { return timers_.add(when, std::move(task)); }
+  void cancel(TimerId id) override { timers_.cancel(id); }
+
+  void advance(TimePoint to) {
+    while (auto next = timers_.next()) {
+      if (*next > to) break;
+      now_ = std::max(now_, *next);
+      timers_.run(now_);
+    }
+    now_ = to;
+  }
+
+  std::mt19937 random_;
+  TimePoint now_;
+  net::TimerQueue timers_;
+  net::EventLoop loop_;
+  Counters counters_;
+  std::vector<std::string> trace_;
+  std::vector<std::unique_ptr<Client>> clients_;
+  Engine engine_;
+  Traffic traffic_;
+  DestinationSet destinations_;
+};
+
+TEST(Traffic, WithOnePoolTheActionsAreThoseWithoutPools) {
+  UnixClock clock;
+  TimePoint start = Clock::now();
+  for (unsigned seed = 1; seed <= 5; ++seed) {
+    auto without = World(seed, clock, start, false).play(1500), with = World(seed, clock, start, true).play(1500);
+    ASSERT_GT(without.size(), 3000u) << "seed " << seed;
+    ASSERT_EQ(without, with) << "seed " << seed;
+  }
+}
+
+TEST(Traffic, ATenantsShareIsTheSameHoweverItsRequestsAreSplit) {
+  reedlb::Settings settings;
+  settings.classes.resize(1);
+  settings.classes[0].target_ms = 1000;
+  settings.tenant_quota = {2};  // four may be saved up
+  settings.over_share_worth = 0.1;
+  // Two Dispatchers are each given four requests of a tenant; one without a tenant, three times as large, is held
+  // behind those within the share and before those beyond it. What is sent first tells how many were within.
+  auto within = [&](std::shared_ptr<reedlb::TenantShares> shares) {
+    int count = 0;
+    std::vector<reedlb::Dispatcher> pair;
+    for (std::uint64_t seed : {1, 2}) pair.emplace_back(settings, seed, shares);
+    reedlb::Actions out;
+    for (reedlb::RequestId id = 1; id <= 8; ++id) pair[id % 2].handle(1e6, reedlb::Arrival{.request = id, .ttl_ms = 60'000, .hint = 100}, out);
+    for (reedlb::Dispatcher& d : pair) {
+      d.handle(1e6, reedlb::Arrival{.request = 100, .tenant = -1, .ttl_ms = 60'000, .hint = 300}, out);
+      out.clear();
+      reedlb::WorkerList list;
+      for (reedlb::WorkerId w = 1; w <= 10; ++w) list.entries.push_back({w, 0, 0, 0, reedlb::WorkerState::ready, 1, 0});
+      d.handle(1e6, list, out);
+      for (const auto& action : out) {
+        const auto* send = std::get_if<reedlb::Send>(&action);
+        if (send && send->request == 100) break;
+        count += send != nullptr;
+      }
+    }
+    return count;
+  };
+  EXPECT_EQ(within(std::make_shared<reedlb::TenantShares>()), 4);
+  EXPECT_EQ(within(nullptr), 8) << "each by itself grants the whole share";
+}
+
+}  // namespace
+}  // namespace keelflow
