--- a/lab/crowd.h
+++ b/lab/crowd.h
@@ -65,7 +65,7 @@
   std::uint64_t last_ = 0;
   int retries_ = 0;
   bool stopped_ = false;
-  TimePoint began_{};
+  TimePoint began_{}, due_{};
   TimerId timer_ = 0;
 };
 
--- /dev/null
+++ b/lab/experiments/ci-sales.sexp
@@ -0,0 +1,20 @@
+; A short move-undo-sales: begun and undone twice, with a crash, a drain and the end of a node in between.
+(experiment ci-sales
+  (nodes 2) (load 100) (lasts 8s) (rude 0.3)
+  (class hold-copy (effect keyed) (window 7500ms) (target 300ms) (stretch 2) (run 40ms) (share 1) (value 2) (retries 3))
+  (class close-sale (effect unsafe) (target 400ms) (stretch 2) (run 80ms) (share 1) (value 4) (retries 3))
+  (boxes old (site east) (count 4) (cores 4))
+  (boxes new (site west) (count 4) (cores 4))
+  (settings
+    (pool new (host "new"))
+    (pool old)
+    (route all (to (old 100) (new 0)) (rehome yes))
+    (move boxes (route all) (from old) (to new) (steps 50 100) (least-time 10m) (most-time 1h) (cool-off 0ms)))
+  (at 1s (command "start boxes"))
+  (at 2s (crash old 0.25))
+  (at 3s (command "undo boxes") (drain new 0.25))
+  (at 4s (command "start boxes"))
+  (at 5s (revive old) (command "undo boxes") (terminate 0))
+  (expect rules = 0)
+  (expect jobs >= 600)
+  (expect bad-ends = 0))
--- a/lab/plan.cpp
+++ b/lab/plan.cpp
@@ -1,5 +1,7 @@
 #include "plan.h"
 
+#include <algorithm>
+
 #include "config/config.h"
 #include "config/form.h"
 
@@ -133,7 +135,7 @@
       const Node& what = node->items[i];
       change.verb = what.head();
       change.words.assign(what.items.begin() + (what.items.empty() ? 0 : 1), what.items.end());
-      const auto verbs = {"load", "slow", "crash", "revive", "drain", "ready", "command", "settings", "terminate"};
+      const std::vector<std::string> verbs = {"load", "slow", "crash", "revive", "drain", "ready", "command", "settings", "terminate"};
       if (std::find(verbs.begin(), verbs.end(), change.verb) == verbs.end()) form.fault(what, "one of load slow crash revive drain ready command settings terminate");
       plan.changes.push_back(change);
     }
--- a/logic/moves/comparison.cpp
+++ b/logic/moves/comparison.cpp
@@ -2,11 +2,13 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace keelflow::moves {
 namespace {
 
-constexpr std::uint64_t kLeastBlocks = 8;  // fewer say nothing of how answers hang together
+constexpr std::uint64_t kLeastBlocks = 8;       // fewer say nothing of how answers hang together
+constexpr std::uint64_t kLeastTrialBlocks = 5;  // of the trial's, before anything is concluded
 
 double normal_cdf(double z) { return 0.5 * std::erfc(-z / std::sqrt(2.0)); }
 
@@ -17,92 +19,107 @@
   return (low + high) / 2;
 }
 
+double independent(double in_time, double asked, double in_time2, double both, double asked2, std::uint64_t answers) {
+  double mean = asked / static_cast<double>(answers);
+  double total = asked + 2 * mean, ratio = (in_time + mean) / total;
+  double squares = in_time2 - 2 * ratio * both + ratio * ratio * asked2;  // sum of (x - ratio n)^2
+  squares += mean * mean * ((1 - ratio) * (1 - ratio) + ratio * ratio);   // the made-up two
+  return squares / (total * total);
+}
+
 }  // namespace
 
-void Comparison::reset() {
-  arms_ = {};
-  blocks_ = {};
-  x_[0] = x_[1] = n_[0] = n_[1] = 0;
-  block_ = -1;
+void Comparison::Sums::operator+=(const Sums& o) {
+  asked += o.asked, in_time += o.in_time, in_time2 += o.in_time2, both += o.both, asked2 += o.asked2;
+  answers += o.answers;
+}
+
+void Comparison::Totals::operator+=(const Block& b) {
+  if (b[0].answers + b[1].answers == 0) return;
+  ++count;
+  for (std::size_t i : {0, 1}) {
+    arms[i] += b[i];
+    xx[i] += b[i].in_time * b[i].in_time;
+    xn[i] += b[i].in_time * b[i].asked;
+    nn[i] += b[i].asked * b[i].asked;
+  }
+  x0x1 += b[0].in_time * b[1].in_time;
+  x0n1 += b[0].in_time * b[1].asked;
+  n0x1 += b[0].asked * b[1].in_time;
+  n0n1 += b[0].asked * b[1].asked;
+}
+
+double Comparison::Totals::variance(double r0, double r1) const {
+  double alone = 0;
+  for (const Sums& s : arms) alone += independent(s.in_time, s.asked, s.in_time2, s.both, s.asked2, s.answers);
+  if (count < kLeastBlocks) return alone;
+  double n0 = arms[0].asked, n1 = arms[1].asked;
+  double own0 = xx[0] - 2 * r0 * xn[0] + r0 * r0 * nn[0];
+  double own1 = xx[1] - 2 * r1 * xn[1] + r1 * r1 * nn[1];
+  double across = x0x1 - r1 * x0n1 - r0 * n0x1 + r0 * r1 * n0n1;
+  double blocks = static_cast<double>(count);
+  double together = (own0 / (n0 * n0) + own1 / (n1 * n1) - 2 * across / (n0 * n1)) * blocks / (blocks - 1);
+  return std::max(alone, together);
 }
 
+void Comparison::reset() { *this = Comparison(settings_); }
+
 void Comparison::add(Arm arm, double asked, double in_time, double now_ms) {
   if (!(asked > 0)) return;
   double block = std::floor(now_ms / settings_.block_ms);
   if (block != block_) close_block(), block_ = block;
-  std::size_t i = index(arm);
-  Sums& s = arms_[i];
-  ++s.answers;
-  s.asked += asked;
-  s.in_time += in_time;
-  s.in_time2 += in_time * in_time;
-  s.both += in_time * asked;
-  s.asked2 += asked * asked;
-  x_[i] += in_time;
-  n_[i] += asked;
+  ++answers_[index(arm)];
+  open_[index(arm)] += {asked, in_time, in_time * in_time, in_time * asked, asked * asked, 1};
 }
 
-void Comparison::close_block() {
-  if (n_[0] + n_[1] <= 0) return;
-  Blocks& b = blocks_;
-  ++b.count;
-  for (int i : {0, 1}) {
-    b.xx[i] += x_[i] * x_[i];
-    b.xn[i] += x_[i] * n_[i];
-    b.nn[i] += n_[i] * n_[i];
-  }
-  b.x0x1 += x_[0] * x_[1];
-  b.x0n1 += x_[0] * n_[1];
-  b.n0x1 += n_[0] * x_[1];
-  b.n0n1 += n_[0] * n_[1];
-  x_[0] = x_[1] = n_[0] = n_[1] = 0;
+// What the trial pool lacks in a block against the control's share as known so far.
+double Comparison::against_trial(const Block& b) const {
+  const Sums& control = kept_.arms[0];
+  double usual = control.asked > 0 ? control.in_time / control.asked : 1;
+  return b[1].asked * usual - b[1].in_time;
 }
 
-double Comparison::independent(std::size_t arm) const {
-  const Sums& s = arms_[arm];
-  double mean = s.asked / static_cast<double>(s.answers);
-  double total = s.asked + 2 * mean, ratio = (s.in_time + mean) / total;
-  double squares = s.in_time2 - 2 * ratio * s.both + ratio * ratio * s.asked2;  // sum of (x - ratio n)^2
-  squares += mean * mean * ((1 - ratio) * (1 - ratio) + ratio * ratio);         // the made-up two
-  return squares / (total * total);
-}
-
-double Comparison::clustered(double r0, double r1) const {
-  if (blocks_.count < kLeastBlocks) return 0;
-  const Blocks& b = blocks_;
-  double n0 = arms_[0].asked, n1 = arms_[1].asked;
-  double own0 = b.xx[0] - 2 * r0 * b.xn[0] + r0 * r0 * b.nn[0];
-  double own1 = b.xx[1] - 2 * r1 * b.xn[1] + r1 * r1 * b.nn[1];
-  double across = b.x0x1 - r1 * b.x0n1 - r0 * b.n0x1 + r0 * r1 * b.n0n1;
-  double count = static_cast<double>(b.count);
-  return std::max(0.0, own0 / (n0 * n0) + own1 / (n1 * n1) - 2 * across / (n0 * n1)) * count / (count - 1);
+// The block goes to the worst ones if it is worse than one of them, which then goes to the others.
+void Comparison::close_block() {
+  trial_blocks_ += open_[1].answers > 0;
+  for (Block& worst : worst_)
+    if (against_trial(open_) > against_trial(worst)) std::swap(open_, worst);
+  kept_ += open_;
+  open_ = {};
 }
 
 Estimate Comparison::estimate() const {
   Estimate e;
-  const Sums &control = arms_[0], &trial = arms_[1];
-  e.control_answers = control.answers;
-  e.trial_answers = trial.answers;
+  e.control_answers = answers_[0];
+  e.trial_answers = answers_[1];
+  e.blocks = trial_blocks_;
+  Totals all = kept_;
+  for (const Block& worst : worst_) all += worst;
+  all += open_;
+  const Sums &control = all.arms[0], &trial = all.arms[1];
   if (control.answers > 0) e.control = control.in_time / control.asked;
   if (trial.answers > 0) e.trial = trial.in_time / trial.asked;
   if (control.answers == 0 || trial.answers == 0) return e;
   e.loss = e.control - e.trial;
-  double variance = std::max(independent(0) + independent(1), clustered(e.control, e.trial));
-  e.error = std::sqrt(variance);
+  e.error = std::sqrt(all.variance(e.control, e.trial));
+  const Sums &control_kept = kept_.arms[0], &trial_kept = kept_.arms[1];
+  if (control_kept.answers == 0 || trial_kept.answers == 0) return e;
+  double r0 = control_kept.in_time / control_kept.asked, r1 = trial_kept.in_time / trial_kept.asked;
+  e.trimmed_loss = r0 - r1;
   // The likelihood ratio of "a loss beyond the margin, drawn from a half normal" to "a loss of the margin".
-  double tau2 = settings_.spread * settings_.spread, sum = variance + tau2;
-  double z = (e.loss - settings_.margin) / e.error;
+  double variance = kept_.variance(r0, r1), tau2 = settings_.spread * settings_.spread, sum = variance + tau2;
+  double z = (e.trimmed_loss - settings_.margin) / std::sqrt(variance);
   double inside = normal_cdf(z * settings_.spread / std::sqrt(sum));
   e.log_evidence = std::log(2 * std::max(inside, 1e-300)) + 0.5 * std::log(variance / sum) + z * z * tau2 / (2 * sum);
   return e;
 }
 
 bool Comparison::worse(const Estimate& e) const {
-  return e.error > 0 && e.loss > settings_.margin && e.log_evidence >= -std::log(settings_.false_alarm);
+  return e.blocks >= kLeastTrialBlocks && e.trimmed_loss > settings_.margin && e.log_evidence >= -std::log(settings_.false_alarm);
 }
 
 bool Comparison::no_worse(const Estimate& e) const {
-  return e.error > 0 && e.loss + upper_quantile(settings_.miss) * e.error < settings_.worse;
+  return e.blocks >= kLeastTrialBlocks && e.loss + upper_quantile(settings_.miss) * e.error < settings_.worse;
 }
 
 }  // namespace keelflow::moves
--- a/logic/moves/comparison.h
+++ b/logic/moves/comparison.h
@@ -6,6 +6,9 @@
 // Its variance is the larger of two estimates: that of independent answers, with one made-up success and one made-up
 // failure in each arm, and that of whole blocks of time, whose errors are compared between the arms block by block: a
 // shock that hits both cancels, and answers that hang together (a queue, a pause) do not count as independent.
+//
+// A few blocks cannot tell a bad pool from a bad moment (docs/design/moves.md has the figures), so the two blocks that
+// speak most against the trial pool are left out, and what remains must still say that it is worse.
 #pragma once
 
 #include <array>
@@ -27,7 +30,9 @@
 struct Estimate {
   double control = 0, trial = 0;   // shares, 0 to 1
   double loss = 0, error = 0;      // control - trial, and its standard error
-  double log_evidence = 0;         // of the test; from -log(false_alarm) on the trial is called worse
+  double log_evidence = 0;         // of the test, without the worst blocks; from -log(false_alarm) on it is called worse
+  double trimmed_loss = 0;         // without them
+  std::uint64_t blocks = 0;        // closed, with answers of the trial
   std::uint64_t control_answers = 0, trial_answers = 0;
 };
 
@@ -39,7 +44,6 @@
   Estimate estimate() const;
   bool worse(const Estimate& e) const;      // beyond the margin, surely
   bool no_worse(const Estimate& e) const;   // a loss of `worse` is ruled out
-  std::uint64_t answers(Arm arm) const { return arms_[index(arm)].answers; }
   void reset();
 
  private:
@@ -47,20 +51,28 @@
   struct Sums {  // over answers
     double asked = 0, in_time = 0, in_time2 = 0, both = 0, asked2 = 0;
     std::uint64_t answers = 0;
+    void operator+=(const Sums& o);
   };
-  struct Blocks {  // sums over closed blocks of products of (x, n) of the arms: xx, xn, nn, and across arms
+  using Block = std::array<Sums, 2>;  // by arm
+  struct Totals {
+    Block arms{};
+    // Sums over blocks of products of (x, n) of the arms: xx, xn, nn, and across the arms.
     double xx[2] = {}, xn[2] = {}, nn[2] = {};
     double x0x1 = 0, x0n1 = 0, n0x1 = 0, n0n1 = 0;
     std::uint64_t count = 0;
+    void operator+=(const Block& block);
+    double variance(double ratio0, double ratio1) const;
   };
+  static constexpr std::size_t kLeftOut = 2;
   void close_block();
-  double independent(std::size_t arm) const;
-  double clustered(double ratio0, double ratio1) const;
+  double against_trial(const Block& block) const;
 
   TestSettings settings_;
-  std::array<Sums, 2> arms_{};
-  Blocks blocks_;
-  double x_[2] = {}, n_[2] = {};  // the block that is open
+  Totals kept_;                    // all closed blocks but the worst
+  std::array<Block, kLeftOut> worst_{};
+  std::uint64_t trial_blocks_ = 0;
+  std::array<std::uint64_t, 2> answers_{};
+  Block open_{};
   double block_ = -1;
 };
 
--- a/logic/moves/load_watch.h
+++ b/logic/moves/load_watch.h
@@ -1,5 +1,6 @@
 // Tells a jump of traffic from the usual. Arrivals are counted by the second; a fast average is compared with a slow
-// one that hardly follows while a jump lasts.
+// one that hardly follows while a jump lasts. To be fed from the start, long before anyone asks: a usual that was
+// learned in a few seconds is off by its noise, and a jump measured against it may never seem to end.
 #pragma once
 
 #include <algorithm>
@@ -14,6 +15,7 @@
     double over = 1.2;         // and until here it lasts
     double fast_s = 2, slow_s = 30, stubborn_s = 300;  // the last: how slowly a jump becomes the usual
     double warm_up_s = 5;      // before that nothing is usual
+    double noise_on = 3, noise_off = 1;  // standard deviations of the fast average that are not a jump
   };
   LoadWatch() : LoadWatch(Settings{}) {}
   explicit LoadWatch(Settings settings) : s_(settings) {}
@@ -43,11 +45,11 @@
       return;
     }
     fast_ += (count - fast_) / s_.fast_s;
-    bool early = seconds_ < s_.warm_up_s;
-    slow_ += (count - slow_) / (early ? s_.fast_s : jump_ ? s_.stubborn_s : s_.slow_s);
-    // Three standard deviations of a Poisson count keep quiet routes from jumping by chance.
-    double noise = 3 * std::sqrt(std::max(slow_, 1.0) / s_.fast_s);
-    if (!early) jump_ = fast_ > std::max(slow_ * (jump_ ? s_.over : s_.jump), jump_ ? 0 : slow_ + noise);
+    slow_ += (count - slow_) / std::min(seconds_, jump_ ? s_.stubborn_s : s_.slow_s);  // at first the plain mean
+    if (seconds_ < s_.warm_up_s) return;
+    // Of a Poisson count averaged over twice fast_s - 1 seconds.
+    double deviation = std::sqrt(std::max(slow_, 1.0) / (2 * s_.fast_s - 1));
+    jump_ = fast_ > (jump_ ? slow_ * s_.over + s_.noise_off * deviation : slow_ * s_.jump + s_.noise_on * deviation);
   }
 
   Settings s_;
--- a/node/routes/traffic.cpp
+++ b/node/routes/traffic.cpp
@@ -151,7 +151,7 @@
   counters_.requests_kept += choice.kept;
   counters_.keys_forgotten = router_->keys_forgotten();
   for (auto& moving : moves_) {
-    if (!moving->move.active() || (choice.pool != moving->from && choice.pool != moving->to)) continue;
+    if (choice.pool != moving->from && choice.pool != moving->to) continue;
     moving->move.arrived(choice.pool == moving->to ? moves::Arm::trial : moves::Arm::control, choice.route == moving->route, now);
   }
   return choice.pool;
