--- a/lab/crowd.cpp
+++ b/lab/crowd.cpp
@@ -56,11 +56,9 @@
   }
   // Between requests a node may close a connection; one that crosses it on the way is sent once more.
   void on_broken() override {
-    Reach reach = connection_->reach();
     owner_.pool_.discard(std::move(connection_));
     bool again = connection_tries_++ == 0 && status_ == 0 && owner_.world_.loop.now() < deadline_;
     if (!again) return finish(0);
-    (void)reach;
     connection_ = owner_.pool_.take(static_cast<WorkerId>(node_), owner_.world_.nodes[node_], true);
     if (!connection_) return;
     connection_->attach(this);
