--- a/cli/plugin_commands.cpp
+++ b/cli/plugin_commands.cpp
@@ -42,12 +42,6 @@
   return kBadInput;
 }
 
-wire::Hello hello_of(const Package& p) {
-  wire::Hello hello{p.manifest.name, p.source, 0, 0, to_ms(p.manifest.time), p.manifest.memory, p.values};
-  for (std::size_t i = 0; i < p.manifest.entries.size(); ++i) hello.entries |= static_cast<std::uint8_t>(p.manifest.entries[i] << i);
-  return hello;
-}
-
 std::string shown(const Verdict& v) {
   char numbers[96];
   std::snprintf(numbers, sizeof numbers, "come-back %gs, hold %gs, weigh %g", v.come_back_ms / 1000, v.hold_ms / 1000, v.weigh);
@@ -236,7 +230,7 @@
   if (!faults.empty()) return tell(faults);
   Quiet quiet;
   try {
-    Machine(hello_of(package), quiet).load(kThen);
+    Machine(wire::hello(package, 0), quiet).load(kThen);
   } catch (const plugins::PluginFault& fault) {
     std::fprintf(stderr, "%s: %s\n", folder.c_str(), fault.what());
     return kBadInput;
@@ -261,7 +255,7 @@
   if (!faults.empty()) return tell(faults);
   Quiet quiet;
   try {
-    Machine machine(hello_of(package), quiet);
+    Machine machine(wire::hello(package, 0), quiet);
     machine.load(kThen);
     int code = Play(machine, requests, faults).all(nodes);
     for (const auto& [name, value] : quiet.counts) std::printf("counted %s %g\n", name.c_str(), value);
@@ -281,7 +275,7 @@
   json out;
   try {
     Quiet quiet;
-    Machine machine(hello_of(package), quiet);
+    Machine machine(wire::hello(package, 0), quiet);
     machine.load(kThen);
     wire::Request request = sample(1);
     std::uint64_t calls = 0;
--- a/node/plugins/host.cpp
+++ b/node/plugins/host.cpp
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
 #include <utility>
 
@@ -101,10 +102,7 @@
     errno = error;
     return false;
   }
-  const Manifest& m = package.manifest;
-  wire::Hello hello{m.name, package.source, 0, settings_.nice, to_ms(m.time), m.memory, package.values};
-  for (std::size_t i = 0; i < m.entries.size(); ++i) hello.entries |= static_cast<std::uint8_t>(m.entries[i] << i);
-  starting_.push_back(wire::encode(hello));
+  starting_.push_back(wire::encode(wire::hello(package, settings_.nice)));
   for (const wire::Kept& entry : table) starting_.push_back(wire::encode(wire::ToHost(entry)));
   starting_.push_back(wire::encode(wire::Begin{now}));
   load_timer_ = loop_.at(loop_.now() + settings_.load_within, [this] { end("it did not load in time"); });
@@ -189,14 +187,14 @@
 void Host::on_turn() { read(); }
 
 void Host::read() {
-  std::string packet(wire::kMostMessage, '\0');
+  std::array<char, wire::kMostAnswer> packet;
   for (int i = 0; i < kPacketsATurn; ++i) {
     ssize_t got = ::recv(fd_, packet.data(), packet.size(), MSG_DONTWAIT | MSG_TRUNC);
     if (got < 0 && errno == EINTR) continue;
     if (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) return;
     if (got <= 0) return end("its process has ended");
     if (static_cast<std::size_t>(got) > packet.size()) return end("it wrote rubbish: a packet of " + std::to_string(got) + " bytes");
-    if (!take(std::string_view(packet).substr(0, static_cast<std::size_t>(got)))) return;
+    if (!take(std::string_view(packet.data(), static_cast<std::size_t>(got)))) return;
   }
   loop_.next_turn(registration_);
 }
--- a/node/plugins/wire.cpp
+++ b/node/plugins/wire.cpp
@@ -184,6 +184,13 @@
 
 }  // namespace
 
+Hello hello(const Package& package, std::uint8_t nice) {
+  const Manifest& m = package.manifest;
+  Hello out{m.name, package.source, 0, nice, to_ms(m.time), m.memory, package.values};
+  for (std::size_t i = 0; i < m.entries.size(); ++i) out.entries |= static_cast<std::uint8_t>(m.entries[i] << i);
+  return out;
+}
+
 std::string encode(const ToHost& message) { return write(message); }
 std::string encode(const ToNode& message) { return write(message); }
 std::optional<ToHost> decode_to_host(std::string_view packet) { return decode<ToHost>(packet); }
--- a/node/plugins/wire.h
+++ b/node/plugins/wire.h
@@ -15,7 +15,7 @@
 
 namespace keelflow::plugins::wire {
 
-inline constexpr std::size_t kMostMessage = 96 * 1024;
+inline constexpr std::size_t kMostMessage = 96 * 1024, kMostAnswer = 4096;  // to the host, to the node
 inline constexpr std::size_t kMostKey = 64, kMostKept = 1024, kMostName = 40, kMostLine = 500, kMostText = 1024;
 inline constexpr int kMostChanges = 16;  // of its table, in one call
 
@@ -86,6 +86,8 @@
 };
 using ToNode = std::variant<Ready, Broken, Judged, Shaped, Faulted, Kept, Count, Line>;
 
+Hello hello(const Package& package, std::uint8_t nice);
+
 std::string encode(const ToHost& message);
 std::string encode(const ToNode& message);
 std::optional<ToHost> decode_to_host(std::string_view packet);  // nothing: malformed
--- a/tests/node/traffic_test.cpp
+++ b/tests/node/traffic_test.cpp
@@ -163,6 +163,61 @@
   TimePoint now_ = Clock::now();
 };
 
+// Says of each request what the test wants, at once or later.
+class Screen final : public ScreenPort {
+ public:
+  std::map<std::string, Said> says;
+  std::vector<std::string> heard;
+  std::vector<RequestId> forgotten;
+
+ private:
+  std::optional<Said> screen(RequestId, const Job& job, TimePoint) override {
+    auto it = says.find(job.id);
+    return it == says.end() ? std::nullopt : std::optional(it->second);
+  }
+  void forget(RequestId id) override { forgotten.push_back(id); }
+  void ended(const Job& job, Duration, RoutePort::End) override { heard.push_back(job.id); }
+};
+
+TEST(Engine, WhatIsWeighedMoreIsQueuedAsIfLargerAndWhatIsScreenedIsNotTheModulesYet) {
+  reedlb::Settings settings;
+  settings.classes.resize(1);
+  settings.classes[0].target_ms = 1000;
+  Order order;
+  Screen screen;
+  screen.says = {{"a", {.refuse = false, .come_back = {}, .weigh = 4, .label = {}}}, {"b", {}}};
+  Counters counters;
+  UnixClock clock;
+  Engine engine(settings, 1, {1000, 0ms}, order, clock, counters);
+  engine.connect(order, order);
+  engine.screen(&screen);
+  auto take = [&](std::string id, Duration hint) {
+    Job job;
+    job.id = std::move(id);
+    job.tenant = -1;
+    job.patience = 60s;
+    job.hint = std::chrono::duration_cast<std::chrono::microseconds>(hint);
+    return *engine.take(std::move(job), order);
+  };
+  take("a", 100ms), take("b", 200ms);
+  RequestId late = take("late", 10ms), gone = take("gone", 10ms);
+  EXPECT_EQ(engine.held(0), 2u);
+  engine.client_gone(gone);
+  EXPECT_EQ(screen.forgotten, std::vector<RequestId>{gone});
+  engine.screened(gone, {});  // too late: nothing comes of it
+  EXPECT_EQ(engine.held(0), 2u);
+  reedlb::WorkerList list;
+  for (reedlb::WorkerId w = 1; w <= 10; ++w) list.entries.push_back({w, 0, 0, 0, reedlb::WorkerState::ready, 1, 0});
+  engine.destinations(list);
+  EXPECT_EQ(order.sent, (std::vector<std::string>{"b", "a"}));
+  engine.screened(late, {});
+  engine.screened(late, {.refuse = true, .come_back = {}, .weigh = 1, .label = {}});  // once is all
+  EXPECT_EQ(order.sent.back(), "late");
+  EXPECT_EQ(counters.answers_refused, 0u);
+  EXPECT_EQ(engine.open_requests(), 3u);
+  EXPECT_EQ(screen.heard, std::vector<std::string>{"gone"});
+}
+
 TEST(Traffic, ARequestThatIsRoutedAgainCountsOnceAgainstItsTenantsShare) {
   reedlb::Settings settings;
   settings.classes.resize(1);
