A plug-in that has not loaded has its fallback for what it sees, and nothing else

Cause: on a last reading: until its first host was ready a plug-in's manifest was not in force, so that one with the fallback to refuse let all pass; and one whose first generation did not load saw all classes once a restart had brought it back.

Change: the manifest holds from the moment the file names the plug-in; a test with a source that never loads.

--- a/node/plugins/plugins.cpp
+++ b/node/plugins/plugins.cpp
@@ -116,6 +116,7 @@
     const Package& newest = plugin.next && plugin.takes_over ? plugin.next_package : plugin.package;
     bool changed = fresh || newest.fingerprint != packages[i].fingerprint || plugin.wanted.answer_within != wanted.answer_within;
     bool was_enabled = std::exchange(plugin.wanted, wanted).enabled;
+    if (fresh) plugin.package = packages[i], see(plugin, packages[i]);  // its fallback holds until it has loaded
     if (!wanted.enabled) {
       if (fresh || was_enabled) enable(wanted.name, false);
       plugin.package = packages[i];
@@ -248,7 +249,6 @@
       if (old.get() == &host) drop(old);
   std::erase(plugin->retiring, nullptr);
   if (next) counters_.plugin_reloads_failed += plugin->takes_over;
-  if (next && plugin->takes_over && plugin->package.source.empty()) plugin->package = plugin->next_package;  // the only one there is
   if (current || (next && !plugin->current)) {
     Breaker::State before = plugin->breaker.state();
     plugin->breaker.died(clock_ms());
--- a/tests/node/plugins_test.cpp
+++ b/tests/node/plugins_test.cpp
@@ -179,6 +179,20 @@
   )", with({{"p", "-- (fallback refuse) (sees (class price))\nfunction on_request(r) error('broken') end"}}));
 }
 
+TEST(Plugins, OneThatNeverLoadsHasItsFallbackForWhatItSeesAndNothingElse) {
+  Scenario scenario(with({{"p", "-- (fallback refuse) (sees (class price))\nfunction on_request("}}));
+  scenario.play(kStart);
+  scenario.play(R"(
+    wait plugin_hosts_ended 1+
+    open c
+    send c job A price 5000
+    expect c HTTP/1.1 503
+    send c job B sale 5000
+    accept b box
+    expect b X-Trace-Id: B
+  )");
+}
+
 TEST(Plugins, AReloadTakesOverAndABrokenOneLeavesTheOldInCharge) {
   play(R"(
     open c progress
