--- a/adapter/codec.cpp
+++ b/adapter/codec.cpp
@@ -235,6 +235,13 @@
     }
     void operator()(const Probe& a) const { put(w.record(60) + 1, a.worker); }
     void operator()(const Subscribe&) const { w.record(110)[1] = 1; }
+    void operator()(const Tell& a) const {
+      char* r = w.record(80);
+      put(r + 1, static_cast<std::uint16_t>(a.peer));
+      put(r + 3, static_cast<std::uint32_t>(w.tail_.size()));
+      put(r + 7, static_cast<std::uint32_t>(a.bytes.size()));
+      w.tail_ += a.bytes;
+    }
   };
   std::visit(Visitor{*this}, action);
 }
--- a/include/reedlb/dispatcher.h
+++ b/include/reedlb/dispatcher.h
@@ -160,7 +160,11 @@
   WorkerId worker = 0;
 };
 struct Subscribe {};  // ask for the worker list and its changes
-using Action = std::variant<Send, Refuse, Fail, Recall, SetTimer, Probe, Subscribe>;
+struct Tell {         // a message to the dispatcher of that rank; it may come late or never
+  int peer = 0;
+  std::string bytes;
+};
+using Action = std::variant<Send, Refuse, Fail, Recall, SetTimer, Probe, Subscribe, Tell>;
 using Actions = std::vector<Action>;
 
 // What of their shares tenants have left: a bucket for each. Dispatchers that split one node's traffic between them
--- a/node/config/config.cpp
+++ b/node/config/config.cpp
@@ -52,6 +52,22 @@
   throw ConfigError(std::string("config: '") + key + "' is no address: '" + text + "'");
 }
 
+// Without them the module is told that there are no messages, whatever the settings allow.
+void read_peers(const json& root, Config& c) {
+  if (c.settings.peers && root.contains("peer_listen") && root.contains("peers")) {
+    c.peer_listen = address(root, "peer_listen");
+    for (const json& peer : root.at("peers")) {
+      auto parsed = net::parse_address(peer.get<std::string>());
+      if (!parsed) throw ConfigError("config: 'peers' has what is no address: '" + peer.get<std::string>() + "'");
+      c.peers.push_back(*parsed);
+    }
+    if (c.peers.size() != static_cast<std::size_t>(c.settings.dispatchers))
+      throw ConfigError("config: 'peers' has " + std::to_string(c.peers.size()) + " addresses, settings " +
+                        std::to_string(c.settings.dispatchers) + " balancers");
+  }
+  c.settings.peers = c.peer_listen.has_value();
+}
+
 }  // namespace
 
 std::string read_file(const std::string& path) {
@@ -95,6 +111,7 @@
     c.idle_limit = from_ms(limits.value("conn_idle_ms", 5000.0));
     c.most_held = limits.value("most_held", std::size_t{20000});
     c.tick = from_ms(c.settings.tick_ms);
+    read_peers(root, c);
     if (root.contains("known") && root.at("known").is_object()) c.known = decode_list(root.at("known"), c.names);
     return c;
   } catch (const json::exception& fault) {
--- a/node/config/config.h
+++ b/node/config/config.h
@@ -1,6 +1,7 @@
 // What the platform tells a node, decoded once at the start.
 #pragma once
 
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -27,6 +28,9 @@
   Duration connect_timeout{}, idle_limit{}, tick{};
   std::size_t most_held = 20000;
   HostList known;
+  // Where the platform lets nodes send one another messages: the own address and everybody's, by rank.
+  std::optional<net::Address> peer_listen;
+  std::vector<net::Address> peers;
 };
 
 std::string read_file(const std::string& path);  // throws ConfigError
--- a/node/core/counters.h
+++ b/node/core/counters.h
@@ -20,6 +20,7 @@
   X(plugin_asked) X(plugin_not_asked) X(plugin_late) X(plugin_faults) X(plugin_refused) X(plugin_held)      \
   X(plugin_holds_cut) X(plugin_hosts_started) X(plugin_hosts_ended) X(plugin_reloads)                       \
   X(plugin_reloads_failed) X(plugin_lines_dropped) X(plugin_events_dropped)                                 \
+  X(peer_messages_sent) X(peer_messages_received) X(peer_messages_dropped) X(peer_messages_unknown)         \
   X(store_writes) X(store_faults) X(store_skipped) X(replays)
 
 struct Counters {
--- a/node/core/engine.cpp
+++ b/node/core/engine.cpp
@@ -70,6 +70,7 @@
     return endpoints_->probe(a->worker);
   }
   if (std::holds_alternative<reedlb::Subscribe>(action)) return destinations_->subscribe();
+  if (const auto* a = std::get_if<reedlb::Tell>(&action)) return peers_ ? peers_->tell(a->peer, a->bytes) : void();
   if (const auto* a = std::get_if<reedlb::Refuse>(&action)) {
     FinalAnswer answer{.kind = FinalAnswer::Kind::refused, .retry_after = from_ms(a->retry_after_ms)};
     return finish(a->request, std::move(answer));
@@ -294,6 +295,10 @@
     post(static_cast<int>(i), reedlb::ProbeResult{worker, ok, to_ms(elapsed), report});
 }
 
+void Engine::told(int peer, const std::string& bytes) {
+  for (std::size_t i = 0; i < lanes_.size(); ++i) post(static_cast<int>(i), reedlb::PeerMessage{peer, bytes});
+}
+
 void Engine::destinations(reedlb::WorkerList list, int pool) {
   post(pool, std::move(list));
 }
--- a/node/core/engine.h
+++ b/node/core/engine.h
@@ -22,6 +22,7 @@
   Engine(const reedlb::Settings& settings, std::uint64_t seed, Limits limits, TimerPort& timers,
          const UnixClock& clock, Counters& counters);
   void connect(EndpointPort& endpoints, DestinationPort& destinations);
+  void peers(PeerPort* peers) { peers_ = peers; }  // null: what the module would tell them is dropped
   // Pools: each has a lane, a Dispatcher that sees its endpoints and its requests only. There is one from the start.
   void route(RoutePort* routes) { routes_ = routes; }
   void lanes(int count);  // at least so many
@@ -43,6 +44,9 @@
   void attempt_ended(AttemptRef ref, AttemptEnd end);
   void probed(WorkerId worker, bool ok, Duration elapsed, const reedlb::LoadReport& report);
 
+  // From another node of the tier: to every lane, as each knows its own endpoints only.
+  void told(int peer, const std::string& bytes);
+
   // From discovery.
   void destinations(reedlb::WorkerList list, int pool = 0);
 
@@ -99,6 +103,7 @@
   Counters& counters_;
   EndpointPort* endpoints_ = nullptr;
   DestinationPort* destinations_ = nullptr;
+  PeerPort* peers_ = nullptr;
   std::unordered_map<RequestId, Request> requests_;
   std::unordered_map<std::string, RequestId> by_name_;  // of all in requests_
   std::deque<std::pair<int, reedlb::Event>> inbox_;
--- a/node/core/ports.h
+++ b/node/core/ports.h
@@ -122,6 +122,13 @@
   virtual void subscribe() = 0;
 };
 
+// The other nodes of the tier, by rank. Messages may come late or never.
+class PeerPort {
+ public:
+  virtual ~PeerPort() = default;
+  virtual void tell(int peer, std::string_view bytes) = 0;
+};
+
 using TimerId = std::uint64_t;
 class TimerPort {
  public:
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -15,6 +15,7 @@
 #include "inbound/server.h"
 #include "log/log.h"
 #include "outbound/outbound.h"
+#include "peers/peers.h"
 #include "plugins/plugins.h"
 #include "progress/progress_front.h"
 #include "routes/traffic.h"
@@ -62,12 +63,15 @@
                       [this](reedlb::WorkerList list) { traffic_.list(std::move(list)); }, counters_),
         pool_(loop_, config_.idle_limit * 6 / 10, budget_.idle_outbound, counters_),
         outbound_(loop_, engine_, destinations_, pool_, {config_.connect_timeout, config_.report_names}, counters_),
+        peers_(loop_, config_.peers, config_.settings.rank,
+               [this](int peer, const std::string& bytes) { engine_.told(peer, bytes); }, counters_),
         plugins_({.loop = loop_, .clock = clock_, .names = config_.names, .classes = config_.settings.classes, .seed = config_.seed}, engine_, counters_),
         front_(loop_, engine_, outbound_, config_, counters_), server_(loop_, front_, budget_.inbound, counters_),
         signals_(*this) {}
 
   int run() {
     engine_.connect(outbound_, destinations_);
+    engine_.peers(&peers_);
     traffic_.connect(destinations_);
     traffic_.configure(own_.routes, own_.moves);
     plugins_.configure(own_.plugins, plugins::load_all(own_.plugins, files_.own, config_.names));
@@ -76,6 +80,8 @@
     signals_.open();
     server_.listen(config_.listen);
     log::info(Subsystem::node, "listens", {{"name", config_.name}, {"address", server_.address().text()}});
+    if (config_.peer_listen && !peers_.open(*config_.peer_listen))
+      log::error(Subsystem::node, "peers-unheard", {{"address", config_.peer_listen->text()}, {"errno", errno}});
     if (own_.progress.listen) open_progress();
     if (!own_.admin.socket.empty()) open_admin();
     loop_.run();
@@ -215,6 +221,7 @@
   DestinationSet destinations_;
   Pool pool_;
   Outbound outbound_;
+  Peers peers_;
   Plugins plugins_;
   PlatformFront front_;
   Server server_;
--- a/src/containers.h
+++ b/src/containers.h
@@ -3,8 +3,11 @@
 
 #include <cmath>
 #include <cstdint>
+#include <deque>
+#include <map>
 #include <queue>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace reedlb {
@@ -62,6 +65,42 @@
   std::unordered_map<std::uint32_t, std::size_t> place_;
 };
 
+// How often each key was met of late.
+class KeyCounts {
+ public:
+  void count(std::uint64_t key) {
+    ++counts_[key];
+    if (++total_ < kMemory) return;
+    total_ = 0;  // older traffic counts half as much; keys not met for long are forgotten
+    for (auto& [k, n] : counts_) total_ += n /= 2;
+    std::erase_if(counts_, [](const auto& k) { return k.second < 0.3; });
+  }
+  double share(std::uint64_t key) const {
+    auto count = counts_.find(key);
+    return count == counts_.end() ? 0 : count->second / total_;
+  }
+
+ private:
+  static constexpr double kMemory = 4096;  // keys after which older ones count half
+  std::map<std::uint64_t, double> counts_;
+  double total_ = 0;
+};
+
+// Amounts by time; older ones are forgotten when the sum is asked for.
+class Window {
+ public:
+  void add(double when, double amount) { amounts_.emplace_back(when, amount); }
+  double sum(double from) {
+    while (!amounts_.empty() && amounts_.front().first < from) amounts_.pop_front();
+    double all = 0;
+    for (const auto& [when, amount] : amounts_) all += amount;
+    return all;
+  }
+
+ private:
+  std::deque<std::pair<double, double>> amounts_;
+};
+
 // Many alarms kept by one outside timer that is set again whenever an earlier one is due.
 template <typename Wake>
 class Alarms {
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -2,13 +2,13 @@
 // mechanism, its source (the paper "DriftSched") and each exception named below.
 #include <algorithm>
 #include <cmath>
-#include <deque>
 #include <map>
 #include <set>
 #include <unordered_map>
 #include <utility>
 
 #include "containers.h"
+#include "peers.h"
 #include "reedlb/dispatcher.h"
 
 namespace reedlb {
@@ -31,11 +31,13 @@
 constexpr double kShareSpan = 2000;    // ms of its share that a tenant may save up
 constexpr double kTenantLimit = 30;    // S_tenant of a job beyond its tenant's share is at most this
 constexpr double kHomes = 4;         // home workers a dispatcher has, if there are enough
+constexpr int kTellingFleet = 16;    // dispatchers from which on those at home at a worker talk of it
+constexpr double kToldLife = 5000;   // ms for which a peer's slots count unless it tells of them anew
+constexpr double kGiveWay = 40;      // ms within which a slot that a peer has given back may be filled again
 constexpr double kOverflow = 0.1;    // usual runs a job waits for a home worker before it goes elsewhere
 constexpr int kKeyProbes = 16;       // ring look-ups that order a key's workers
 constexpr double kKeySpread = 2.5;   // workers a key is given, for each its share of traffic would fill
 constexpr double kFetchRuns = 1.5;   // a job waits so many usual runs before it leaves its key's workers
-constexpr double kKeyMemory = 4096;  // keyed jobs after which older ones count half
 constexpr double kColdMargin = 0.4;  // share of rule 4's budget used: hints err, and refused work counts too
 constexpr double kColdJobs = 2;      // usual runs that a dispatcher's part of that budget holds at least
 constexpr double kWindowMargin = 0.9;  // share of a keyed class's window used for further sends
@@ -53,7 +55,9 @@
   int faults = 0;          // attempts that failed there since the last that was served
   Time shut_until = 0;     // left alone before this
   int rank = 0;            // this dispatcher's place in the worker's own order of dispatchers
-  std::deque<std::pair<Time, double>> cold_sent;  // work sent within the last window while cold
+  std::vector<int> order;  // the others, in that order
+  Told told;               // slots of those among them that are at home there
+  Window cold_sent;        // work sent within the last window while cold
 };
 
 enum class Fate : std::uint8_t { out, never_ran, may_have_run };
@@ -110,8 +114,7 @@
   std::vector<KindState> kinds;
   std::shared_ptr<TenantShares> shares;
   std::size_t held_count = 0;
-  std::map<std::uint64_t, double> key_count;  // how often each key was met of late
-  double key_total = 0;
+  KeyCounts key_counts;
 
   Alarms<Wake> alarms;
   std::uint64_t next_seq = 0;
@@ -146,14 +149,19 @@
 
   double budget(const Request& r) const { return r.job.hint * classes[at(r.job.cls)].factor; }
 
-  void learn(const Request& r, const Attempt& a, Worker& w) {
+  double learn(const Request& r, const Attempt& a, Worker& w) {
     double run = now - (a.started >= 0 ? a.started : a.sent);
     double slow = std::clamp(run / budget(r) * warmth(w), 0.25, 4.0);
-    w.slow += kSlowAlpha * (slow - w.slow);
-    if (!cold(w)) kinds[at(w.entry.kind)].slow += kAlpha * (slow - kinds[at(w.entry.kind)].slow);
+    learn_pace(w, slow);
     double& b = classes[at(r.job.cls)].factor;
     b += kAlpha * (std::clamp(run / r.job.hint, 1 / kRatioLimit, kRatioLimit) - b);
     mean_run = mean_run > 0 ? mean_run + kAlpha * (run - mean_run) : run;
+    return slow;
+  }
+
+  void learn_pace(Worker& w, double slow) {
+    w.slow += kSlowAlpha * (slow - w.slow);
+    if (!cold(w)) kinds[at(w.entry.kind)].slow += kAlpha * (slow - kinds[at(w.entry.kind)].slow);
   }
 
   // ---- worker view: own slots, learned cap, health, cold allowance ----
@@ -161,7 +169,10 @@
   Worker* find(WorkerId id) { return find_in(workers, id); }
   Request* find_request(RequestId id) { return find_in(requests, id); }
 
-  bool has_room(const Request& r, const Worker& w) const { return w.load <= 0 || w.load + r.load <= w.cap; }
+  double slots(const Worker& w) const { return w.load + w.told.sum(now); }  // in flight there, if known
+  bool has_room(const Request& r, const Worker& w) const {
+    return slots(w) <= 0 || slots(w) + r.load <= w.cap;
+  }
 
   // Keeps the pools an exact index of the workers that are ready, not left alone, and below their cap.
   void index(Worker& w) {
@@ -169,21 +180,22 @@
     auto& ring = kinds[at(w.entry.kind)].ring;
     if (!ready) ring.erase(mix(w.entry.worker));
     if (ready) ring.emplace(mix(w.entry.worker), w.entry.worker);
-    bool open = ready && now >= w.shut_until && (w.load <= 0 || w.load < w.cap);
+    bool open = ready && now >= w.shut_until && (slots(w) <= 0 || slots(w) < w.cap);
     kinds[at(w.entry.kind)].pools[kOpen].set(w.entry.worker, open);
     kinds[at(w.entry.kind)].pools[kHome].set(w.entry.worker, open && w.rank < home_ranks);
   }
 
   void good_sign(Worker& w) {
     w.strikes = 0;
-    if (w.load + 1 >= w.cap) w.cap += 1 / w.cap;
+    if (slots(w) + 1 >= w.cap) w.cap += 1 / w.cap;
     index(w);
   }
 
+  void met_crowding() { crowding += kAlpha * (1 - crowding); }
+
   // A worker that refused as full or started a job late is left alone a while: others fill it. If it looks
   // ill (failed, or started very late) the rest doubles while no good sign comes, and one job tries it again.
   void bad_sign(Worker& w, bool ill) {
-    crowding += kAlpha * (1 - crowding);
     w.cap = ill ? 1 : std::max(1.0, w.cap * kCapDown);
     double rest = std::max(4 * s.tick_ms, kRest * mean_run);
     if (ill) rest *= std::exp2(std::max(w.strikes = std::min(w.strikes + 1, kMaxStrikes), w.faults));
@@ -194,12 +206,40 @@
 
   // Each worker orders all dispatchers by a hash that they share, anew when it starts again. The first few
   // are at home there, and the first few alone may use it while it is cold.
-  int rank_at(const WorkerEntry& e) const {
-    std::uint64_t seed = mix(e.worker ^ mix(static_cast<std::uint64_t>(std::max(0.0, e.born) * 1000)));
-    auto score = [&](int rank) { return mix(seed + static_cast<std::uint64_t>(rank)); };
-    int place = 0;
-    for (int d = 0; d < s.dispatchers; ++d) place += d != s.rank && score(d) < score(s.rank);
-    return place;
+  void order(Worker& w) const {
+    w.order = order_of(life_of(w.entry), s.dispatchers);
+    auto self = std::find(w.order.begin(), w.order.end(), s.rank);
+    w.rank = static_cast<int>(self - w.order.begin());
+    w.order.erase(self);
+  }
+
+  // Exception: where dispatchers are many, no one of them meets a worker often enough to know it. Those at
+  // home there tell one another of their slots and signs, and count what they hear as if they had seen it.
+  void tell(const Worker& w, Sign sign = Sign::none, double slow = 1) {
+    if (!s.peers || s.dispatchers < kTellingFleet) return;
+    Note note{w.entry.worker, static_cast<std::uint8_t>(life_of(w.entry)), w.load, sign, slow};
+    for (int i = 0; i < home_ranks - (w.rank < home_ranks) && at(i) < w.order.size(); ++i)
+      out->emplace_back(Tell{w.order[at(i)], write_note(note)});
+  }
+
+  void take_sign(Worker& w, Sign sign, bool fault) {
+    if (sign == Sign::served) w.faults = 0, good_sign(w);
+    if (sign == Sign::full || sign == Sign::late) bad_sign(w, false);
+    if (sign == Sign::failed) w.faults = std::min(w.faults + fault, kMaxFaults), bad_sign(w, true);
+  }
+
+  void on(const PeerMessage& e) {
+    auto note = read_note(e.bytes);
+    Worker* w = note ? find(note->worker) : nullptr;
+    if (!w || note->life != static_cast<std::uint8_t>(life_of(w->entry))) return;
+    bool was_full = slots(*w) >= w->cap;
+    w->told.set(e.peer, note->load, now + kToldLife);
+    if (note->sign == Sign::served) learn_pace(*w, note->slow);
+    take_sign(*w, note->sign, true);
+    // All who wait for a slot hear of it at once: each gives the others a moment to fill it first.
+    if (was_full) w->shut_until = std::max(w->shut_until, now + kGiveWay * random());
+    alarms.add(was_full ? w->shut_until : now + kToldLife, Wake::reindex, note->worker);
+    index(*w);
   }
 
   bool cold(const Worker& w) const { return w.entry.born > 0 && now < w.entry.born + s.cold_ms; }
@@ -212,20 +252,16 @@
 
   double cold_work(const Request& r) const { return std::max(r.job.hint, budget(r)); }
 
-  // Rule 4: what this dispatcher may still send to a cold worker, in work. Where
-  // dispatchers are many hardly one of them ever has two jobs at work on a worker: its registered size is then
-  // believed up to twice the cores seen. So that shares do not get smaller than a job, only the first few
-  // dispatchers of its order use it, more of them as it warms.
+  // Rule 4: what this dispatcher may still send to a cold worker, in work. Where dispatchers are many hardly
+  // one ever has two jobs at work on a worker: its registered size is believed up to twice the cores seen. So
+  // that shares do not get smaller than a job, only the first few of its order use it, more as it warms.
   double cold_allowance(Worker& w) {
-    while (!w.cold_sent.empty() && w.cold_sent.front().first < now - s.fall_ms) w.cold_sent.pop_front();
     const KindState& kind = kinds[at(w.entry.kind)];
     double cores = std::clamp(w.entry.nominal, kind.cores, 2 * kind.cores) / std::clamp(kind.slow, 0.5, 4.0);
     double total = kColdMargin * s.fall_multiple * warmth(w) * cores * s.fall_ms;
     int users = std::clamp(static_cast<int>(total / (kColdJobs * std::max(mean_run, 1.0))), 1, s.dispatchers);
     if (w.rank >= users) return 0;
-    double left = total / users;
-    for (const auto& [when, work] : w.cold_sent) left -= work;
-    return left;
+    return total / users - w.cold_sent.sum(now - s.fall_ms);
   }
 
   // ---- the guards: every send passes may_send, every final answer passes may_bounce ----
@@ -314,10 +350,11 @@
 
   void send(Request& r, Worker& w) {
     unhold(r);
-    if (cold(w)) w.cold_sent.emplace_back(now, cold_work(r));
+    if (cold(w)) w.cold_sent.add(now, cold_work(r));
     w.load += r.load;
     ++w.out;
     index(w);
+    tell(w);
     r.attempts.push_back({w.entry.worker, w.entry.zone, w.entry.cell, now});
     out->push_back(Send{r.job.request, w.entry.worker, 0});
     int attempt = static_cast<int>(r.attempts.size()) - 1;
@@ -340,7 +377,9 @@
   // Exception: a worker that runs jobs slower than their corrected hints counts its slots so much dearer. Not
   // for jobs with keys, whose run times tell of fetches as much as of the worker.
   void keep_best(const Request& r, Worker*& best, Worker* w) const {
-    auto cost = [&](const Worker& x) { return r.job.key ? x.load : (x.load + 1) * std::max(1.0, pace(x)); };
+    auto cost = [&](const Worker& x) {
+      return r.job.key ? slots(x) : (slots(x) + 1) * std::max(1.0, pace(x));
+    };
     if (!best || cost(*w) < cost(*best)) best = w;
   }
 
@@ -420,10 +459,8 @@
       }
     }
     std::sort(near.begin(), near.end());
-    auto count = key_count.find(r.job.key);
-    double share = count == key_count.end() ? 0 : count->second / key_total;
     double waited = r.held ? (now - r.held_since) / (kFetchRuns * mean_run + s.tick_ms) : 0;
-    double wide = std::ceil(share * fleet * kKeySpread) + waited;
+    double wide = std::ceil(key_counts.share(r.job.key) * fleet * kKeySpread) + waited;
     WorkerId last = 0;
     Worker* best = nullptr;
     for (const auto& [distance, id] : near) {
@@ -434,15 +471,6 @@
     return best;
   }
 
-  void count_key(std::uint64_t key) {
-    if (key == 0) return;
-    ++key_count[key];
-    if (++key_total < kKeyMemory) return;
-    key_total = 0;  // older traffic counts half as much; keys not met for long are forgotten
-    for (auto& [k, n] : key_count) key_total += n /= 2;
-    std::erase_if(key_count, [](const auto& k) { return k.second < 0.3; });
-  }
-
   // The tier factor S_tenant: a tenant's share, split evenly over the dispatchers, is a bucket that fills
   // with time. A job that finds it empty counts as larger by as much as it is worth less.
   bool within_share(int tenant) {
@@ -508,7 +536,7 @@
     r.load = std::clamp(std::max({1.0, e.slots, e.memory}), 1.0, 1e6);
     r.seq = next_seq++;
     r.deadline = now + (std::isfinite(e.ttl_ms) ? e.ttl_ms : 0) - s.tick_ms;
-    count_key(e.key);
+    if (e.key != 0) key_counts.count(e.key);
     if (r.deadline <= now) return finish(r), forget_if_done(e.request);
     alarms.add(r.deadline, Wake::deadline, e.request);
     double slack = cls(r).target_ms + (cls(r).stretch - 1) * r.job.hint;
@@ -570,10 +598,12 @@
     w.load = --w.out <= 0 ? 0 : w.load - r.load;
     if (a.started >= 0) --w.started;
     // A worker that fails at once looks empty: starting a job proves nothing of it, only serving one does.
-    if (result == Result::ok) w.faults = 0, learn(r, a, w), good_sign(w);
-    else if (result == Result::full) bad_sign(w, false);
-    else if (result != Result::cancelled && result != Result::moot)
-      w.faults = std::min(w.faults + (result != Result::connect_failed), kMaxFaults), bad_sign(w, true);
+    bool none = result == Result::cancelled || result == Result::moot, ok = result == Result::ok;
+    Sign sign = none ? Sign::none : ok ? Sign::served : result == Result::full ? Sign::full : Sign::failed;
+    double slow = ok ? learn(r, a, w) : 1;
+    if (sign == Sign::full || sign == Sign::failed) met_crowding();
+    take_sign(w, sign, result != Result::connect_failed);
+    tell(w, sign, slow);
     index(w);
     if (w.out <= 0 && w.entry.state == WorkerState::gone) workers.erase(a.worker);
   }
@@ -596,7 +626,8 @@
     if (!a || a->started >= 0 || a->recalled) return;
     Request& r = requests.at(id);
     double waited = now - a->sent;
-    if (Worker* w = find(a->worker)) bad_sign(*w, waited > 2 * mean_run);
+    met_crowding();
+    if (Worker* w = find(a->worker)) bad_sign(*w, waited > 2 * mean_run), tell(*w, Sign::late);
     alarms.add(now + std::max(4 * patience(a->zone), 0.5 * mean_run), Wake::late_start, id, attempt);
     if (!s.cancel || r.job.key != 0 || r.attempts.size() + 1 >= at(s.try_limit)) return;
     if (!s.parallel_tries && (crowding > kCrowded || waited <= kSilent * mean_run)) return;
@@ -636,7 +667,7 @@
       w = &(workers[n.worker] = fresh);
       w->entry = n;
       w->slow = kinds[at(n.kind)].slow;  // until it has shown its own
-      w->rank = rank_at(n);
+      order(*w);
       listed.insert(n.worker);
       cells[n.cell].insert(n.worker);
     }
@@ -664,7 +695,7 @@
   }
 
   void on(const Timer& e) { alarms.rang(e.name); }
-  void on(const auto&) {}  // peers' messages and probe results: nothing is decided on them
+  void on(const auto&) {}  // probe results: nothing is decided on them
 
   void ring(const Alarms<Wake>::Alarm& a) {
     Request* r = a.wake == Wake::deadline || a.wake == Wake::overdue ? find_request(a.id) : nullptr;
--- /dev/null
+++ b/src/peers.h
@@ -0,0 +1,90 @@
+// What dispatchers tell one another of a worker that they share, and what each keeps of it. Nothing here decides.
+#pragma once
+
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "containers.h"
+#include "reedlb/dispatcher.h"
+
+namespace reedlb {
+
+enum class Sign : std::uint8_t { none, served, full, late, failed };
+
+// A note is 8 bytes, big-endian: worker (4), a mark of the worker's life (1), own slots in flight there (1, at most
+// 255), sign (1), relative slowness x 32 of the run that ended (1, sign `served` only). Messages are priced by size.
+struct Note {
+  WorkerId worker = 0;
+  std::uint8_t life = 0;  // notes on a former life of a worker tell nothing of the present one
+  double load = 0;
+  Sign sign = Sign::none;
+  double slow = 1;
+};
+constexpr std::size_t kNoteSize = 8;
+
+inline std::string write_note(const Note& n) {
+  auto byte = [](double v) { return static_cast<char>(static_cast<std::uint8_t>(std::clamp(std::round(v), 0.0, 255.0))); };
+  std::string out;
+  for (int shift : {24, 16, 8, 0}) out += static_cast<char>(n.worker >> shift & 0xff);
+  return out + static_cast<char>(n.life) + byte(std::ceil(n.load)) + static_cast<char>(n.sign) + byte(n.slow * 32);
+}
+
+// Empty: not such a note. Peers of another release may say other things.
+inline std::optional<Note> read_note(std::string_view bytes) {
+  if (bytes.size() != kNoteSize) return std::nullopt;
+  auto byte = [&](std::size_t i) { return static_cast<std::uint8_t>(bytes[i]); };
+  if (byte(6) > static_cast<std::uint8_t>(Sign::failed)) return std::nullopt;
+  Note n;
+  for (std::size_t i = 0; i < 4; ++i) n.worker = n.worker << 8 | byte(i);
+  n.life = byte(4);
+  n.load = byte(5);
+  n.sign = static_cast<Sign>(byte(6));
+  n.slow = byte(7) / 32.0;
+  return n;
+}
+
+// The slots that others hold at one worker, by what each told last. A peer that has died tells no more, and a note
+// may be lost: what is not told anew counts for a while only.
+class Told {
+ public:
+  void set(int peer, double load, Time until) {
+    std::erase_if(held_, [&](const Held& h) { return h.peer == peer; });
+    if (load > 0) held_.push_back({peer, load, until});
+  }
+  double sum(Time now) const {
+    double all = 0;
+    for (const Held& h : held_) all += h.until > now ? h.load : 0;
+    return all;
+  }
+
+ private:
+  struct Held {
+    int peer;
+    double load;
+    Time until;
+  };
+  std::vector<Held> held_;
+};
+
+// A number for one life of a worker, the same at every dispatcher.
+inline std::uint64_t life_of(const WorkerEntry& e) {
+  return mix(e.worker ^ mix(static_cast<std::uint64_t>(std::max(0.0, e.born) * 1000)));
+}
+
+// All dispatchers by rank, in an order that each of them finds by itself from the same seed.
+inline std::vector<int> order_of(std::uint64_t seed, int dispatchers) {
+  std::vector<std::pair<std::uint64_t, int>> scored;
+  for (int d = 0; d < dispatchers; ++d) scored.emplace_back(mix(seed + static_cast<std::uint64_t>(d)), d);
+  std::sort(scored.begin(), scored.end());
+  std::vector<int> order;
+  for (const auto& [score, d] : scored) order.push_back(d);
+  return order;
+}
+
+}  // namespace reedlb
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -89,14 +89,16 @@
   w.instance(3);
   w.action(Send{0x5d3a91c4, 0x03124a07, 80});
   w.action(SetTimer{77, 12508.25});
+  w.action(Tell{7, "hi q"});
   w.instance(5);
   w.give_in("two servers left");
-  std::string expected = hex("00000088 00000005") + padded("82 00000003", 24) +
+  std::string expected = hex("000000a4 00000006") + padded("82 00000003", 24) +
                          padded("0a 5d3a91c4 03124a07 4054000000000000", 24);
   std::string timer = padded("32 000000000000004d", 24);
   auto bits = std::bit_cast<std::uint64_t>(12508.25);
   for (std::size_t i = 0; i < 8; ++i) timer[9 + i] = static_cast<char>(bits >> (56 - 8 * i));
-  expected += timer + padded("82 00000005", 24) + padded("64 00000000 00000010", 24) + "two servers left";
+  expected += timer + padded("50 0007 00000000 00000004", 24) + padded("82 00000005", 24) +
+              padded("64 00000004 00000010", 24) + "hi q" + "two servers left";
   EXPECT_EQ(w.finish(), expected);
   EXPECT_EQ(w.finish(), hex("00000000 00000000"));
 }
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -37,6 +37,7 @@
       if (const auto* t = std::get_if<SetTimer>(&a)) timers.push_back(*t);
       if (const auto* t = std::get_if<Send>(&a)) sends.push_back(*t);
       if (const auto* t = std::get_if<Recall>(&a)) recalls.push_back(*t);
+      if (const auto* t = std::get_if<Tell>(&a)) tells.push_back(*t);
       if (std::holds_alternative<Refuse>(a) || std::holds_alternative<Fail>(a)) answers.push_back(a);
     }
     return last;
@@ -89,6 +90,7 @@
   Actions last;
   std::vector<Send> sends;
   std::vector<Recall> recalls;
+  std::vector<Tell> tells;
   std::vector<Action> answers;
   std::vector<SetTimer> timers;
 };
--- a/tests/mechanism_test.cpp
+++ b/tests/mechanism_test.cpp
@@ -4,6 +4,7 @@
 #include <set>
 
 #include "harness.h"
+#include "peers.h"
 
 namespace reedlb {
 namespace {
@@ -338,6 +339,94 @@
   EXPECT_GE(fleet.size(), 90u);  // and together they use the whole fleet
 }
 
+// Two workers that this dispatcher shares with 19 others, and what those tell of the first.
+struct Shared : Bench {
+  static Settings settings() {
+    Settings s = basic_settings();
+    s.dispatchers = 20;
+    s.peers = true;
+    return s;
+  }
+  Shared() : Bench(settings()) { workers(2); }
+  void hears(int peer, WorkerId worker, double load, Sign sign = Sign::none, Time born = 0) {
+    WorkerEntry entry{.worker = worker, .born = born};
+    auto life = static_cast<std::uint8_t>(life_of(entry));
+    play(PeerMessage{peer, write_note({.worker = worker, .life = life, .load = load, .sign = sign})});
+  }
+  int sent_to_first(int jobs) {  // of so many jobs that are served at once
+    int count = 0;
+    for (int i = 0; i < jobs; ++i) {
+      sends.clear();
+      arrive(++last_job, 100);
+      for (const Send& x : std::vector<Send>(sends)) count += x.worker == 100, outcome(x.request, 0, Result::ok, true);
+    }
+    return count;
+  }
+  RequestId last_job = 0;
+};
+
+TEST(Peers, AWorkerThatOthersHaveFilledIsPassedOverUntilTheyTellOtherwise) {
+  Shared b;
+  EXPECT_GT(b.sent_to_first(40), 0);
+  b.hears(3, 100, 2);
+  b.hears(4, 100, 200);
+  EXPECT_EQ(b.sent_to_first(40), 0);
+  b.hears(3, 100, 0);
+  b.hears(4, 100, 0);
+  b.advance(b.now + 50);  // the others had a moment to fill it again
+  EXPECT_GT(b.sent_to_first(40), 0);
+}
+
+TEST(Peers, WhatADeadPeerToldLastIsForgotten) {
+  Shared b;
+  b.hears(3, 100, 200);
+  EXPECT_EQ(b.sent_to_first(40), 0);
+  b.advance(b.now + 5100);
+  EXPECT_GT(b.sent_to_first(40), 0);
+}
+
+TEST(Peers, AWorkerThatFailsOthersIsLeftAloneHere) {
+  Shared b;
+  b.sent_to_first(4);
+  for (int peer : {3, 4, 5}) b.hears(peer, 100, 0, Sign::failed);
+  EXPECT_EQ(b.sent_to_first(40), 0);
+}
+
+TEST(Peers, NotesOnAFormerLifeOrThatAreNoneChangeNothing) {
+  Shared b;
+  for (int peer : {3, 4, 5}) b.hears(peer, 100, 200, Sign::failed, 77);
+  for (std::string bytes : {"", "1234567", "123456789"}) b.play(PeerMessage{3, bytes});
+  b.play(PeerMessage{3, std::string(8, '\xff')});
+  b.hears(3, 999, 200, Sign::failed);  // a worker that is not listed
+  EXPECT_GT(b.sent_to_first(40), 0);
+}
+
+TEST(Peers, TheOthersAtHomeAtAWorkerHearOfEachSendAndEachEnd) {
+  Shared b;
+  b.arrive(1, 100);
+  ASSERT_EQ(b.sends.size(), 1u);
+  std::vector<Note> told;
+  auto collect = [&] {
+    for (const Action& a : b.last)
+      if (const auto* t = std::get_if<Tell>(&a)) {
+        EXPECT_NE(t->peer, 0);
+        told.push_back(read_note(t->bytes).value());
+      }
+  };
+  collect();
+  ASSERT_EQ(told.size(), 19u);  // with two workers all twenty are at home
+  EXPECT_EQ(told[0].worker, b.sends[0].worker);
+  EXPECT_EQ(told[0].load, 1);
+  told.clear();
+  b.now += 100;
+  b.outcome(1, 0, Result::ok, true);
+  collect();
+  ASSERT_EQ(told.size(), 19u);
+  EXPECT_EQ(told[0].load, 0);
+  EXPECT_EQ(told[0].sign, Sign::served);
+  EXPECT_NEAR(told[0].slow, 1, 0.05);
+}
+
 TEST(Slow, AWorkerThatRunsSlowlyIsPassedOverForAnEquallyEmptyOne) {
   Bench b(basic_settings());
   b.workers(2);
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -213,7 +213,13 @@
   std::map<WorkerId, std::vector<std::pair<Time, double>>> sent;
   std::map<WorkerId, std::array<Time, 2>> cores;  // when each is free
   std::multimap<Time, Event> coming;
+  struct Message {
+    int from, to;
+    std::string bytes;
+  };
+  std::multimap<Time, Message> told;
   int in_time = 0, all = 0;
+  double share_in_time() const { return 1.0 * in_time / all; }
 
   void play(unsigned seed) {
     std::mt19937 rng(seed);
@@ -238,11 +244,17 @@
         else nodes[e.node]->outcome(e.job, 0, Result::ok, true);
         if (!e.start) in_time += t - came[e.node][e.job] < 500 + 2.5 * hint(e.node, e.job);
       }
+      for (; !told.empty() && told.begin()->first <= t; told.erase(told.begin())) {
+        Message m = told.begin()->second;
+        nodes[static_cast<std::size_t>(m.to)]->play(PeerMessage{m.from, m.bytes});
+      }
       for (std::size_t n = 0; n < kNodes; ++n) {
         nodes[n]->advance(t);
         auto job = static_cast<RequestId>(came[n].size() + 1);
         if (rng() % 67 == 0) came[n][job] = t, nodes[n]->arrive(job, hint(n, job)), ++all;
         for (const Send& x : std::exchange(nodes[n]->sends, {})) begin(x, n, t);
+        for (Tell& x : std::exchange(nodes[n]->tells, {}))
+          told.emplace(t + 2 + rng() % 20, Message{static_cast<int>(n), x.peer, std::move(x.bytes)});
       }
     }
   }
@@ -285,6 +297,16 @@
   }
 }
 
+TEST(Peers, AHundredDispatchersThatTellOneAnotherServeMoreInTime) {
+  for (unsigned seed : {1u, 2u, 3u}) {
+    LargeFleet silent, talking;
+    talking.s.peers = true;
+    silent.play(seed);
+    talking.play(seed);
+    EXPECT_GT(talking.share_in_time(), silent.share_in_time() + 0.03) << "seed " << seed;
+  }
+}
+
 // ---- random streams against an independent checker ----
 
 struct Checked {
