--- a/tests/node/peers_test.cpp
+++ b/tests/node/peers_test.cpp
@@ -90,7 +90,8 @@
 
 std::string config_with(const std::string& peers, const std::string& allowed) {
   return R"({"listen":"127.0.0.1:1","discovery":"127.0.0.1:2")" + peers +
-         R"(,"settings":{"balancers":2,"rank":1,"locality":0,"dcs":["a"],"kinds":["m"],"granularity_ms":4,
+         R"(,"settings":{"balancers":2,"rank":1,"locality":0,"dcs":["a"],"kinds":["m"],"granularity_ms":4,"registry_mode":"ask",
+             "safety":{"drain_grace_ms":500,"grace_to_answer_ms":16,"cold_from":0.1,"cold_ms":20000,"fall_multiple":4,"fall_ms":2000},
              "classes":[{"name":"render","effect":"safe","target_ms":200,"give_up_ms":1000}],
              "limits":{"try_limit":3,"peer_messages":)" + allowed + "}}}";
 }
