--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -32,6 +32,7 @@
 constexpr double kShareSpan = 2000;    // ms of its share that a tenant may save up
 constexpr double kTenantLimit = 30;    // S_tenant of a job beyond its tenant's share is at most this
 constexpr double kHomes = 4;         // home workers a dispatcher has, if there are enough
+constexpr double kTalkHomes = 6;     // the same where dispatchers talk
 constexpr int kTellingFleet = 16;    // dispatchers from which on those at home at a worker talk of it
 constexpr double kToldLife = 5000;   // ms for which a peer's slots count unless it tells of them anew
 constexpr double kGiveWay = 40;      // ms within which a slot that a peer has given back may be filled again
@@ -648,7 +649,7 @@
     }
     for (const auto& n : e.entries) apply(n);
     double fleet = std::max(1.0, static_cast<double>(listed.size()));
-    int ranks = 1 + static_cast<int>(std::ceil(kHomes * s.dispatchers / fleet));
+    int ranks = 1 + static_cast<int>(std::ceil((talks() ? kTalkHomes : kHomes) * s.dispatchers / fleet));
     if (std::exchange(home_ranks, ranks) != ranks)
       for (WorkerId id : listed) index(workers[id]);
     if (s.ask_list && e.scope == ListScope::cached) ask_again();
