Operators' address with figures, executors out by hand, settings retuned at SIGHUP

Design: a line front of its own (node/admin/line_server) with reserved descriptors and a limit for each caller; figures bumped where the thing happens, per class by name; executors out by hand as a set laid over discovery's list (logic/overlay), so that the module sees a drain; a file read at SIGHUP is decoded, compared with what the former one had and joined to it as a value (node/config/retune) before anything is swapped. A class that changes gets a number of its own, so that jobs under way keep theirs; what was learned of it goes along (reedlb::Retune). The platform's listening socket is taken from EDGE_LISTEN_FD.

Not taken: the HTTP server for the operators' line (its patience is 2.5 s, and it shares the clients' budget); a filter on the module's picks for executors out by hand (the module would go on counting them as having room); a fresh Dispatcher at SIGHUP (it would forget what it learned).

--- a/include/reedlb/dispatcher.h
+++ b/include/reedlb/dispatcher.h
@@ -46,6 +46,7 @@
   double late_worth = 0;
   int kind = -1;     // the only worker kind that runs it, or -1
   int priority = 0;  // counts in the workers' queues where queue_by_priority
+  bool operator==(const ClassSettings&) const = default;
 };
 
 struct Settings {
@@ -67,6 +68,7 @@
   std::vector<ReportField> report;  // meaning of each load report value
   double drain_grace_ms = 0, grace_to_answer_ms = 0;
   double cold_from = 1, cold_ms = 0, fall_multiple = 1, fall_ms = 0;  // rule 4, see docs/design.md
+  bool operator==(const Settings&) const = default;
 };
 
 // ---- events ----
@@ -131,8 +133,14 @@
   bool final = false;  // the request has ended, with this outcome or before
   LoadReport report;
 };
+// New settings, which `validate` must have passed. Jobs under way keep their class: a number that some of them have
+// must stand for the same class as before, and no list may be shorter. What was learned stays.
+struct Retune {
+  Settings settings;
+  std::vector<int> from;  // by class: the number it learned under until now (its own: the same class), or -1: it is new
+};
 using Event = std::variant<WorkerList, Arrival, StreamBegun, Started, ClientGone, Timer, PeerMessage,
-                           ProbeResult, Outcome>;
+                           ProbeResult, Outcome, Retune>;
 
 // ---- actions ----
 
@@ -191,6 +199,7 @@
 
   double calibration(int cls) const;  // the factor B of a class, for monitoring
   std::size_t held() const;           // jobs waiting here, for monitoring
+  bool avoids(WorkerId worker, Time now) const;  // it is ready and yet left alone, as it looks ill; for monitoring
 
  private:
   struct Impl;
--- a/logic/routes/router.h
+++ b/logic/routes/router.h
@@ -64,6 +64,13 @@
   // lists are complete ones, told as cached, for every pool; pools that are no more get an empty one.
   std::optional<Lists> replace(Spec spec, double now_ms);
 
+  // Names that the platform has added, at the end of each list, or given to a class number that nobody uses. To be
+  // followed by `replace`.
+  void rename(NameLists names, std::vector<reedlb::ClassSettings> classes) {
+    names_ = std::move(names);
+    classes_ = std::move(classes);
+  }
+
   // Splits what discovery tells. `host` names a worker; empty where it is not known (it then keeps its pool).
   Lists split(const reedlb::WorkerList& list, const std::function<std::string_view(reedlb::WorkerId)>& host, double now_ms);
   // A cold endpoint that changes pools joins the new one after rest_ms: the new Dispatcher does not know what the old
--- a/node/config/config.cpp
+++ b/node/config/config.cpp
@@ -1,5 +1,7 @@
 #include "config/config.h"
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <charconv>
 #include <cstdlib>
@@ -52,6 +54,26 @@
   throw ConfigError(std::string("config: '") + key + "' is no address: '" + text + "'");
 }
 
+// What the module does not read itself, and no node can serve by if it is not so.
+void check_figures(const json& settings) {
+  auto positive = [](const json& owner, const char* key, const std::string& where) {
+    if (!owner.contains(key)) return;
+    const json& value = owner.at(key);
+    if (!value.is_number() || value.get<double>() <= 0)
+      throw ConfigError("config: '" + where + key + "' is no positive number: " + value.dump());
+  };
+  for (const json& cls : settings.at("classes"))
+    positive(cls, "give_up_ms", "settings.classes." + cls.value("name", "?") + ".");
+  if (settings.contains("limits")) positive(settings.at("limits"), "try_limit", "settings.limits.");
+}
+
+// Of the list of hosts and the seed nothing is kept: they may be absent.
+std::string shape_of(json root) {
+  root.erase("known");
+  root.erase("seed");
+  return root.dump();
+}
+
 // Without them the module is told that there are no messages, whatever the settings allow.
 void read_peers(const json& root, Config& c) {
   if (c.settings.peers && root.contains("peer_listen") && root.contains("peers")) {
@@ -91,12 +113,15 @@
     c.name = root.value("name", "node");
     c.listen = address(root, "listen");
     c.discovery = address(root, "discovery");
+    if (root.contains("admin")) c.admin = address(root, "admin");
     std::string seed = root.value("seed", "0");
     auto [end, error] = std::from_chars(seed.data(), seed.data() + seed.size(), c.seed, 16);
     if (error != std::errc() || end != seed.data() + seed.size())
       throw ConfigError("config: 'seed' is not hexadecimal: '" + seed + "'");
     c.sockets = root.value("limits", json::object()).value("sockets", std::size_t{1024});
     const json& settings = root.at("settings");
+    check_figures(settings);
+    c.as_read = shape_of(root);
     std::string profile;
     flatten(settings, "", profile);
     c.settings = reedlb::wire::read_settings(profile);
@@ -121,4 +146,20 @@
 
 Config read_config(const std::string& path) { return decode_config(read_file(path)); }
 
+void read_environment(Config& config) {
+  if (const char* text = std::getenv("EDGE_ADMIN"); text && *text) {
+    config.admin = net::parse_address(text);
+    if (!config.admin) throw ConfigError(std::string("EDGE_ADMIN is no address: '") + text + "'");
+  }
+  if (const char* text = std::getenv("EDGE_LISTEN_FD"); text && *text) {
+    std::string_view digits = text;
+    auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), config.listen_fd);
+    int listens = 0;
+    socklen_t size = sizeof listens;
+    bool good = error == std::errc() && end == digits.data() + digits.size() && config.listen_fd >= 0 &&
+                getsockopt(config.listen_fd, SOL_SOCKET, SO_ACCEPTCONN, &listens, &size) == 0 && listens != 0;
+    if (!good) throw ConfigError(std::string("EDGE_LISTEN_FD is no listening socket: '") + text + "'");
+  }
+}
+
 }  // namespace keelflow
--- a/node/config/config.h
+++ b/node/config/config.h
@@ -20,6 +20,8 @@
 struct Config {
   std::string name;
   net::Address listen, discovery;
+  std::optional<net::Address> admin;  // for operators alone
+  int listen_fd = -1;                 // a listening socket that the platform holds and lends, in place of `listen`
   std::uint64_t seed = 0;
   std::size_t sockets = 1024;
   reedlb::Settings settings;
@@ -31,6 +33,7 @@
   // Where the platform lets nodes send one another messages: the own address and everybody's, by rank.
   std::optional<net::Address> peer_listen;
   std::vector<net::Address> peers;
+  std::string as_read;  // JSON: what the file must not lack when it is read again
 };
 
 std::string read_file(const std::string& path);  // throws ConfigError
@@ -38,6 +41,8 @@
 // Reads the file that EDGE_CONFIG names. Throws ConfigError naming the fault.
 Config read_config(const std::string& path);
 Config decode_config(const std::string& text);
+// What the environment says beside the file: EDGE_ADMIN, EDGE_LISTEN_FD. Throws ConfigError.
+void read_environment(Config& config);
 
 // The nested settings in the path=value form of the simulator's first message, which the adapter's decoder reads.
 std::string flatten_settings(const std::string& json);
--- a/node/core/counters.h
+++ b/node/core/counters.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <string>
 
 namespace keelflow {
@@ -9,7 +10,7 @@
 #define KEELFLOW_COUNTERS(X)                                                                             \
   X(requests_taken) X(requests_rejected) X(answers_served) X(answers_refused) X(answers_failed)          \
   X(clients_gone) X(attempts_started) X(attempts_served) X(attempts_error) X(attempts_turned_away)       \
-  X(attempts_never_connected) X(attempts_reset) X(attempts_timed_out) X(attempts_cancelled)              \
+  X(attempts_written) X(attempts_never_connected) X(attempts_reset) X(attempts_timed_out) X(attempts_cancelled)              \
   X(news_received) X(news_unmatched) X(probes_sent) X(connections_accepted) X(connections_opened)        \
   X(connections_shed) X(connections_worn)                                                                \
   X(connections_failed) X(accept_paused) X(lists_received) X(watches_opened) X(watches_broken)           \
@@ -21,9 +22,15 @@
   X(plugin_holds_cut) X(plugin_hosts_started) X(plugin_hosts_ended) X(plugin_reloads)                       \
   X(plugin_reloads_failed) X(plugin_lines_dropped) X(plugin_events_dropped)                                 \
   X(peer_messages_sent) X(peer_messages_received) X(peer_messages_dropped) X(peer_messages_unknown)         \
+  X(operator_calls) X(operator_callers_ended)                                                               \
   X(store_writes) X(store_faults) X(store_skipped) X(replays)
 
+struct ClassFigures {  // final answers that a client was there to hear
+  std::uint64_t completed = 0, rejected = 0, failed = 0;
+};
+
 struct Counters {
+  std::map<std::string, ClassFigures> classes;  // by name, as long as the process lives: a class may vanish and come back
 #define X(name) std::uint64_t name = 0;
   KEELFLOW_COUNTERS(X)
 #undef X
--- a/node/core/engine.cpp
+++ b/node/core/engine.cpp
@@ -32,6 +32,7 @@
                const UnixClock& clock, Counters& counters)
     : settings_(settings), seed_(seed), limits_(limits), timers_(timers), clock_(clock), counters_(counters) {
   lanes(1);
+  name_classes(std::vector<std::string>(settings.classes.size()));
 }
 
 void Engine::lanes(int count) {
@@ -39,6 +40,27 @@
     lanes_.push_back(std::make_unique<Lane>(settings_, seed_ + lanes_.size() * 0x9e3779b97f4a7c15ull, shares_));
 }
 
+void Engine::name_classes(const std::vector<std::string>& names) {
+  figures_.clear();
+  for (const std::string& name : names) figures_.push_back(&counters_.classes[name]);
+}
+
+void Engine::retune(const reedlb::Settings& settings, std::vector<int> from, Limits limits) {
+  limits_ = limits;
+  if (settings == settings_) return;
+  settings_ = settings;
+  for (std::size_t i = 0; i < lanes_.size(); ++i) post(static_cast<int>(i), reedlb::Retune{settings, from});
+}
+
+bool Engine::class_in_use(int cls) const {
+  return std::any_of(requests_.begin(), requests_.end(), [&](const auto& r) { return r.second.job.cls == cls; });
+}
+
+bool Engine::avoids(WorkerId worker) const {
+  double now = clock_.unix_ms(timers_.now());
+  return std::any_of(lanes_.begin(), lanes_.end(), [&](const auto& lane) { return lane->dispatcher.avoids(worker, now); });
+}
+
 void Engine::connect(EndpointPort& endpoints, DestinationPort& destinations) {
   endpoints_ = &endpoints;
   destinations_ = &destinations;
@@ -104,10 +126,12 @@
   RequestId id = next_id_++;
   if (by_name_.size() >= limits_.most_held) {  // the platform's own cap; the module never sees these
     ++counters_.answers_refused;
+    ++figures_.at(static_cast<std::size_t>(job.cls))->rejected;
     asker.on_final({.kind = FinalAnswer::Kind::refused, .retry_after = std::chrono::seconds(1)});
     return id;
   }
   ++counters_.requests_taken;
+  ++pending_;
   TimePoint now = timers_.now();
   if (job.patience > last_answer_ - now) job.patience = std::max(Duration::zero(), last_answer_ - now);
   job.once = settings_.classes.at(static_cast<std::size_t>(job.cls)).effect != reedlb::Effect::safe;
@@ -188,6 +212,7 @@
   auto it = requests_.find(id);
   if (it == requests_.end() || !it->second.asker) return;
   ++counters_.clients_gone;
+  --pending_;
   it->second.asker = nullptr;
   tell_end(it->second, RoutePort::End::gone);
   if (it->second.screening) {
@@ -303,19 +328,23 @@
   post(pool, std::move(list));
 }
 
-void Engine::finish(RequestId id, FinalAnswer answer) {
-  auto it = requests_.find(id);
-  if (it == requests_.end() || !it->second.asker) return;
-  switch (answer.kind) {
+void Engine::count_end(const Request& request, FinalAnswer::Kind kind) {
+  --pending_;
+  ClassFigures& figures = *figures_.at(static_cast<std::size_t>(request.job.cls));
+  switch (kind) {
     case FinalAnswer::Kind::served:
-      ++counters_.answers_served;
-      break;
+      return ++counters_.answers_served, void(++figures.completed);
     case FinalAnswer::Kind::refused:
-      ++counters_.answers_refused;
-      break;
+      return ++counters_.answers_refused, void(++figures.rejected);
     case FinalAnswer::Kind::failed:
-      ++counters_.answers_failed;
+      return ++counters_.answers_failed, void(++figures.failed);
   }
+}
+
+void Engine::finish(RequestId id, FinalAnswer answer) {
+  auto it = requests_.find(id);
+  if (it == requests_.end() || !it->second.asker) return;
+  count_end(it->second, answer.kind);
   Asker* asker = it->second.asker;
   it->second.asker = nullptr;
   tell_end(it->second, answer.kind == FinalAnswer::Kind::served    ? RoutePort::End::served
--- a/node/core/engine.h
+++ b/node/core/engine.h
@@ -28,6 +28,11 @@
   void lanes(int count);  // at least so many
   void screen(ScreenPort* screen) { screen_ = screen; }  // null: requests go to the module at once
   void screened(RequestId id, const ScreenPort::Said& said);
+  // By class number; whose figures its requests count under.
+  void name_classes(const std::vector<std::string>& names);
+  // Settings that a running node takes over. Class numbers in use keep their meaning; `from`: see reedlb::Retune.
+  void retune(const reedlb::Settings& settings, std::vector<int> from, Limits limits);
+  bool class_in_use(int cls) const;
   // Requests of that pool that no endpoint was ever sent are routed again.
   void rehome(int pool);
 
@@ -50,6 +55,8 @@
   // From discovery.
   void destinations(reedlb::WorkerList list, int pool = 0);
 
+  std::size_t pending() const { return pending_; }  // requests whose client still waits for its answer
+  bool avoids(WorkerId worker) const;               // some lane leaves it alone at present
   std::size_t open_requests() const { return by_name_.size(); }
   std::size_t open_attempts() const { return attempts_out_; }
   std::size_t held(int pool) const { return lanes_.at(static_cast<std::size_t>(pool))->dispatcher.held(); }
@@ -85,6 +92,7 @@
   reedlb::Arrival arrival_of(RequestId id, const Request& request) const;
   void admit(RequestId id, Request& request);
   void tell_end(const Request& request, RoutePort::End how);
+  void count_end(const Request& request, FinalAnswer::Kind kind);
   void send(const reedlb::Send& send);
   void recall(AttemptRef ref, bool timed_out);
   void finish(RequestId id, FinalAnswer answer);
@@ -98,6 +106,7 @@
   RoutePort* routes_ = nullptr;
   ScreenPort* screen_ = nullptr;
   Limits limits_;
+  std::vector<ClassFigures*> figures_;  // by class number
   TimerPort& timers_;
   const UnixClock& clock_;
   Counters& counters_;
@@ -110,7 +119,7 @@
   bool pumping_ = false;
   TimePoint last_answer_ = TimePoint::max();
   RequestId next_id_ = 1;
-  std::size_t attempts_out_ = 0;
+  std::size_t attempts_out_ = 0, pending_ = 0;
 };
 
 }  // namespace keelflow
--- a/node/discovery/destination_set.h
+++ b/node/discovery/destination_set.h
@@ -33,6 +33,7 @@
   // came after them.
   void move(const net::Address& discovery);
   void stop();
+  void names(Names names) { names_ = std::move(names); }  // from the next list on
 
   // An endpoint stays known for the node's life: jobs it has are still cancelled there when it left the list.
   const Destination* find(WorkerId worker) const;
--- a/node/discovery/host_list.cpp
+++ b/node/discovery/host_list.cpp
@@ -11,6 +11,12 @@
   return it == list.end() ? -1 : static_cast<int>(it - list.begin());
 }
 
+int Names::class_of(std::string_view name) const {
+  for (std::size_t i = 0; i < classes.size(); ++i)
+    if (classes[i] == name && !(i < former.size() && former[i])) return static_cast<int>(i);
+  return -1;
+}
+
 reedlb::WorkerId worker_id(std::string_view host) {
   std::uint32_t hash = 2166136261u;  // FNV-1a
   for (unsigned char c : host) hash = (hash ^ c) * 16777619u;
--- a/node/discovery/host_list.h
+++ b/node/discovery/host_list.h
@@ -14,7 +14,10 @@
 
 struct Names {  // positions in these lists are the numbers that the module knows
   std::vector<std::string> classes, tenants, zones, kinds;
+  // By class number: the class has left the settings, or changed and has another number now. Jobs under way keep theirs.
+  std::vector<bool> former = {};
   static int place(const std::vector<std::string>& list, std::string_view name);  // -1: unknown
+  int class_of(std::string_view name) const;                                      // -1: not, or no more
 };
 
 struct Host {
--- a/node/inbound/platform_front.cpp
+++ b/node/inbound/platform_front.cpp
@@ -68,7 +68,7 @@
   std::string_view path = head.path();
   std::string_view first = path.substr(1, path.find('/', 1) == std::string_view::npos ? path.npos : path.find('/', 1) - 1);
   Job job;
-  job.cls = Names::place(names.classes, first);
+  job.cls = first.empty() ? -1 : names.class_of(first);
   if (job.cls < 0) return Rejection{404, "no such class\n"};
   if (head.method != "POST") return Rejection{405, "jobs are posted\n"};
   // One that comes twice may mean one thing here and another behind us.
@@ -171,10 +171,12 @@
 }
 
 std::unique_ptr<Exchange> PlatformFront::take_plain(InboundConnection& connection, Job job) {
-  if (turned_away(connection)) return nullptr;
+  ClassFigures& figures = counters_.classes[config_.names.classes.at(static_cast<std::size_t>(job.cls))];
+  if (turned_away(connection)) return ++figures.rejected, nullptr;
   auto exchange = std::make_unique<PlainExchange>(engine_, connection);
   if (!exchange->take(std::move(job))) {
     ++counters_.requests_rejected;
+    ++figures.failed;
     connection.respond(400, "a request with this X-Trace-Id is open\n");
     return nullptr;
   }
--- a/node/inbound/server.cpp
+++ b/node/inbound/server.cpp
@@ -1,5 +1,6 @@
 #include "inbound/server.h"
 
+#include <fcntl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/un.h>
@@ -257,6 +258,15 @@
   serve(fd);
 }
 
+// Whoever holds it has set its backlog. It does not block for them either; the flag is the socket's, not ours.
+void Server::inherit(int fd) {
+  fd_ = fd;
+  must(::fcntl(fd, F_SETFL, ::fcntl(fd, F_GETFL) | O_NONBLOCK) == 0, "fcntl");
+  must(::fcntl(fd, F_SETFD, FD_CLOEXEC) == 0, "fcntl");
+  registration_ = loop_.watch(fd_, *this);
+  must(registration_ != 0, "epoll_ctl");
+}
+
 void Server::listen(const std::string& path) {
   sockaddr_un to{};
   to.sun_family = AF_UNIX;
--- a/node/inbound/server.h
+++ b/node/inbound/server.h
@@ -93,6 +93,7 @@
   ~Server() override;
 
   void listen(const net::Address& address);  // throws std::system_error
+  void inherit(int fd);                      // a listening socket that others hold too
   // A Unix socket of mode 0600. A leftover of a program that has ended is replaced; one that answers is an error.
   void listen(const std::string& path);
   net::Address address() const;              // the one bound
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -9,12 +9,16 @@
 #include <nlohmann/json.hpp>
 
 #include "admin/admin_front.h"
+#include "admin/line_server.h"
+#include "admin/operator_calls.h"
+#include "config/retune.h"
 #include "core/engine.h"
 #include "discovery/destination_set.h"
 #include "inbound/platform_front.h"
 #include "inbound/server.h"
 #include "log/log.h"
 #include "outbound/outbound.h"
+#include "overlay/by_hand.h"
 #include "peers/peers.h"
 #include "plugins/plugins.h"
 #include "progress/progress_front.h"
@@ -35,7 +39,7 @@
 constexpr std::size_t kAdminConnections = 6;
 
 struct Budget {  // of descriptors, shared by all sockets of the process
-  std::size_t inbound, idle_outbound;
+  std::size_t inbound, idle_outbound, operators;
 };
 Budget split(std::size_t sockets) {
   rlimit limit{};
@@ -43,7 +47,7 @@
   std::size_t usable = sockets > 64 ? sockets - 48 : sockets / 2;
   // Inbound grows by a sixth, and progress takes a third of that again. An outbound connection is busy only until
   // its 202, so that few are needed beside the idle ones.
-  return {usable * 5 / 8, usable / 8};
+  return {usable * 5 / 8, usable / 8, std::clamp(usable / 16, std::size_t{4}, std::size_t{24})};
 }
 
 sigset_t signals() {
@@ -60,16 +64,19 @@
         engine_(config_.settings, config_.seed, {config_.most_held, config_.tick}, loop_, clock_, counters_),
         traffic_(loop_, clock_, engine_, {config_.names, config_.settings}, counters_),
         destinations_(loop_, config_.discovery, config_.names,
-                      [this](reedlb::WorkerList list) { traffic_.list(std::move(list)); }, counters_),
+                      [this](reedlb::WorkerList list) { traffic_.list(by_hand_.laid_over(std::move(list))); }, counters_),
         pool_(loop_, config_.idle_limit * 6 / 10, budget_.idle_outbound, counters_),
         outbound_(loop_, engine_, destinations_, pool_, {config_.connect_timeout, config_.report_names}, counters_),
         peers_(loop_, config_.peers, config_.settings.rank,
                [this](int peer, const std::string& bytes) { engine_.told(peer, bytes); }, counters_),
         plugins_({.loop = loop_, .clock = clock_, .names = config_.names, .classes = config_.settings.classes, .seed = config_.seed}, engine_, counters_),
         front_(loop_, engine_, outbound_, config_, counters_), server_(loop_, front_, budget_.inbound, counters_),
+        operators_({.not_ready = [this] { return not_ready(); }, .gauges = [this] { return gauges(); },
+                    .by_hand = [this](const std::string& host, bool out) { return by_hand(host, out); }}, counters_),
         signals_(*this) {}
 
   int run() {
+    engine_.name_classes(config_.names.classes);
     engine_.connect(outbound_, destinations_);
     engine_.peers(&peers_);
     traffic_.connect(destinations_);
@@ -78,7 +85,9 @@
     server_.on_pressure = [this] { return pool_.free_one(); };
     destinations_.known(config_.known);
     signals_.open();
-    server_.listen(config_.listen);
+    if (config_.admin) open_operators();
+    if (config_.listen_fd >= 0) server_.inherit(config_.listen_fd);
+    else server_.listen(config_.listen);
     log::info(Subsystem::node, "listens", {{"name", config_.name}, {"address", server_.address().text()}});
     if (config_.peer_listen && !peers_.open(*config_.peer_listen))
       log::error(Subsystem::node, "peers-unheard", {{"address", config_.peer_listen->text()}, {"errno", errno}});
@@ -144,6 +153,37 @@
     log::info(Subsystem::admin, "listens", {{"name", config_.name}, {"socket", own_.admin.socket}});
   }
 
+  void open_operators() {
+    operator_server_ = std::make_unique<LineServer>(
+        loop_, [this](std::string_view line) { return operators_.answer(line); }, budget_.operators, counters_);
+    try {
+      operator_server_->listen(*config_.admin);
+    } catch (const std::system_error& fault) {
+      throw ConfigError("config: 'admin' " + config_.admin->text() + " cannot be listened on: " + fault.code().message());
+    }
+    log::info(Subsystem::admin, "operators-listen", {{"name", config_.name}, {"address", operator_server_->address().text()}});
+  }
+
+  std::string not_ready() const {
+    if (counters_.drain_stage > 0) return "it was told to end";
+    return "";
+  }
+
+  Gauges gauges() const {
+    std::size_t away = by_hand_.unavailable([this](WorkerId worker) { return engine_.avoids(worker); });
+    return {.pending = engine_.pending(), .members = by_hand_.listed(), .members_unavailable = away};
+  }
+
+  std::string by_hand(const std::string& host, bool out) {
+    WorkerId worker = worker_id(host);
+    const Destination* known = destinations_.find(worker);
+    if (!(known && known->host == host) && !by_hand_.is_out(worker)) return "no executor '" + host + "' was ever listed";
+    auto told = out ? by_hand_.out(worker, host) : by_hand_.back(worker);
+    if (told) traffic_.list(std::move(*told));
+    log::info(Subsystem::admin, out ? "taken-out" : "called-back", {{"executor", host}});
+    return "";
+  }
+
   nlohmann::json status() {
     counters_.log_dropped = log::dropped();
     nlohmann::json counters = nlohmann::json::object();
@@ -155,31 +195,44 @@
             {"open_attempts", engine_.open_attempts()}, {"counters", counters}};
   }
 
-  // SIGHUP: the platform's file may name another discovery, and the node moves there; all else in it (the address to
-  // listen on, limits, settings) holds until a restart. Of our own file pools, routes, moves, plug-ins and the log are
-  // taken over, and what listens holds until a restart. Both are read before anything changes: a bad one changes nothing.
+  // SIGHUP: of the platform's file the settings and the discovery are taken over; the addresses to listen on, the limits
+  // of the process and the peers hold until a restart. Of our own file pools, routes, moves, plug-ins and the log are
+  // taken over, and what listens holds until a restart. All is read before anything changes: a bad file changes nothing.
   void reload() {
     log::reopen();
     try {
-      Config fresh = read_config(files_.platform);
+      Retuned next = retune(config_, read_config(files_.platform), [this](int cls) { return engine_.class_in_use(cls); });
+      const Names& names = next.config.names;
       config::Own own = config::read_own(files_.own, !files_.own_given);
-      traffic_.check(own.routes);
-      auto packages = plugins::load_all(own.plugins, files_.own, config_.names);
+      Traffic::check(own.routes, names);
+      auto packages = plugins::load_all(own.plugins, files_.own, names);
+      traffic_.retune({names, next.config.settings});
       traffic_.configure(own.routes, own.moves);
+      plugins_.retune(names, next.config.settings.classes);
       plugins_.configure(own.plugins, std::move(packages));
       if (own.log.json != own_.log.json || own.log.file != own_.log.file || own.log.level != own_.log.level ||
           own.log.levels != own_.log.levels)
         log::open(own.log);
       own_ = std::move(own);
-      destinations_.move(fresh.discovery);
+      take_over(std::move(next));
       ++counters_.reloads;
       log::info(Subsystem::node, "reloaded");
     } catch (const std::exception& fault) {
       ++counters_.reloads_failed;
-      log::error(Subsystem::node, "reload-refused", {{"fault", fault.what()}});
+      log::error(Subsystem::node, "reload-refused", {{"file", files_.platform}, {"fault", fault.what()}});
     }
   }
 
+  void take_over(Retuned next) {
+    config_ = std::move(next.config);
+    engine_.name_classes(config_.names.classes);
+    engine_.retune(config_.settings, std::move(next.from), {config_.most_held, config_.tick});
+    outbound_.retune({config_.connect_timeout, config_.report_names});
+    pool_.keep(config_.idle_limit * 6 / 10);
+    destinations_.names(config_.names);
+    destinations_.move(config_.discovery);
+  }
+
   // Nothing is turned away. At first all goes on as before; what comes later has only until the last answer. Then
   // answers end their connections, and when nothing is open any more the program ends.
   void drain() {
@@ -216,6 +269,7 @@
   Counters counters_;
   UnixClock clock_;
   net::EventLoop loop_;
+  overlay::ByHand by_hand_;
   Engine engine_;
   Traffic traffic_;
   DestinationSet destinations_;
@@ -225,6 +279,8 @@
   Plugins plugins_;
   PlatformFront front_;
   Server server_;
+  OperatorCalls operators_;
+  std::unique_ptr<LineServer> operator_server_;
   std::unique_ptr<Store> store_;
   std::unique_ptr<ProgressFront> progress_front_;
   std::unique_ptr<Server> progress_server_;
@@ -246,6 +302,7 @@
   if (files.platform.empty()) throw ConfigError("EDGE_CONFIG is not set");
   config::Own own = config::read_own(files.own, !files.own_given);
   Config config = read_config(files.platform);
+  read_environment(config);
   log::open(own.log);
   int code = 0;
   try {
--- a/node/outbound/client_connection.h
+++ b/node/outbound/client_connection.h
@@ -15,6 +15,7 @@
    public:
     virtual ~User() = default;
     virtual void on_connected() {}
+    virtual void on_flushed() {}  // all that was sent so far has been handed to the kernel
     virtual void on_head(const net::Head& head) = 0;
     virtual void on_body(std::string_view) {}
     virtual void on_complete(bool reusable) = 0;
@@ -46,6 +47,9 @@
   void on_connected() override {
     if (user_) user_->on_connected();
   }
+  void on_flushed() override {
+    if (user_) user_->on_flushed();
+  }
   void on_data(std::string_view bytes) override;
   void on_closed(int error) override;
   void on_head(const net::Head& head) override;
--- a/node/outbound/outbound.h
+++ b/node/outbound/outbound.h
@@ -42,6 +42,8 @@
   void give_up(AttemptRef ref) override;
   void probe(WorkerId worker) override;
 
+  void retune(Settings settings) { settings_ = std::move(settings); }
+
   // A call-back is believed only if its id, its sender and a running attempt fit; others change nothing.
   void news(const News& news);
 
--- a/node/outbound/outbound_call.cpp
+++ b/node/outbound/outbound_call.cpp
@@ -68,6 +68,11 @@
                            [this] { owner_.pool_.forget(worker_); });
 }
 
+void OutboundCall::on_flushed() {
+  if (state_ != State::asked || reach() < Reach::fully_written) return;
+  if (!std::exchange(counted_, true)) ++owner_.counters_.attempts_written;
+}
+
 // Once the connection is gone, what it had reached is what counts.
 Reach OutboundCall::reach() const { return connection_ ? std::max(reached_, connection_->reach()) : reached_; }
 
--- a/node/outbound/outbound_call.h
+++ b/node/outbound/outbound_call.h
@@ -23,6 +23,7 @@
   enum class State : std::uint8_t { connecting, asked, accepted, streaming, giving_up, ended };
 
   void on_connected() override;
+  void on_flushed() override;
   void on_head(const net::Head& head) override;
   void on_body(std::string_view bytes) override;
   void on_complete(bool reusable) override;
@@ -41,7 +42,7 @@
   std::string host_;
   net::Address dial_;
   std::shared_ptr<const Payload> payload_;
-  bool wants_progress_, once_;
+  bool wants_progress_, once_, counted_ = false;
   std::string rest_;  // of the request, held back
   TimePoint until_;
   State state_ = State::connecting;
--- a/node/outbound/pool.h
+++ b/node/outbound/pool.h
@@ -1,6 +1,7 @@
 // The idle connections to each endpoint.
 #pragma once
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <unordered_map>
@@ -17,6 +18,9 @@
   Pool(net::EventLoop& loop, Duration keep, std::size_t most_idle, Counters& counters);
   ~Pool();
 
+  void keep(Duration most) { most_keep_ = most, keep_ = std::min(keep_, most); }
+  void most_idle(std::size_t most) { most_idle_ = most; }
+
   // An idle connection to that address, connected; or else a new one, still connecting; or null where the
   // kernel refused. A connection to an address that the endpoint has left is never handed out.
   // `fresh`: a new one in any case.
--- a/node/plugins/plugins.cpp
+++ b/node/plugins/plugins.cpp
@@ -207,6 +207,12 @@
   plugin.tenants = flags(package.manifest.tenants, world_.names.tenants);
 }
 
+void Plugins::retune(const Names& names, const std::vector<reedlb::ClassSettings>& classes) {
+  world_.names = names;
+  world_.classes = classes;
+  for (auto& plugin : plugins_) see(*plugin, plugin->package);
+}
+
 void Plugins::retire(Plugin& plugin, std::unique_ptr<Host> host) {
   constexpr std::size_t kMostRetiring = 3;
   plugin.retiring.push_back(std::move(host));
--- a/node/plugins/plugins.h
+++ b/node/plugins/plugins.h
@@ -50,6 +50,7 @@
 
   // At the start and on SIGHUP: another order, other plug-ins, other values. A plug-in whose folder and values are what
   // they were goes on untouched; of one that has changed the next generation is loaded beside the present one.
+  void retune(const Names& names, const std::vector<reedlb::ClassSettings>& classes);  // of the platform
   void configure(const plugins::Settings& settings, std::vector<plugins::Package> packages);
   bool on() const { return !plugins_.empty(); }
   // From now on nothing is held back, and what is held goes on: the node is being ended.
--- a/node/routes/traffic.cpp
+++ b/node/routes/traffic.cpp
@@ -40,16 +40,21 @@
   timers_.cancel(due_);
 }
 
-void Traffic::check(const routes::Spec& spec) const {
-  const Names& n = settings_.names;
+void Traffic::check(const routes::Spec& spec, const Names& n) {
   std::string all;
   for (const std::string& text : routes::unknown_names(spec, {n.classes, n.tenants, n.zones, n.kinds}))
     all += (all.empty() ? "" : "\n") + text;
   if (!all.empty()) throw ConfigError(all);
 }
 
+void Traffic::retune(Settings settings) {
+  settings_ = std::move(settings);
+  const Names& n = settings_.names;
+  if (router_) router_->rename({n.classes, n.tenants, n.zones, n.kinds}, settings_.module.classes);
+}
+
 void Traffic::configure(const routes::Spec& spec, const std::vector<moves::MoveSpec>& moves) {
-  check(spec);
+  check(spec, settings_.names);
   if (!spec.on() && !router_) return;
   double now = now_ms();
   const Names& n = settings_.names;
--- a/node/routes/traffic.h
+++ b/node/routes/traffic.h
@@ -31,7 +31,8 @@
   // where pools have come and gone more often than there are numbers. A move under way keeps its place if the file
   // still has it with the same route and pools; else it is undone.
   void configure(const routes::Spec& spec, const std::vector<moves::MoveSpec>& moves);
-  void check(const routes::Spec& spec) const;  // throws ConfigError
+  static void check(const routes::Spec& spec, const Names& names);  // throws ConfigError
+  void retune(Settings settings);  // of the platform; to be followed by `configure`
 
   void list(reedlb::WorkerList list);
 
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -11,6 +11,7 @@
 #include "containers.h"
 #include "peers.h"
 #include "reedlb/dispatcher.h"
+#include "state.h"
 
 namespace reedlb {
 namespace {
@@ -20,7 +21,6 @@
 constexpr double kRatioLimit = 8;    // one sample counts at most this much, or its inverse: tails are heavy
 constexpr int kCandidates = 4;       // sampled workers with room that a pick compares
 constexpr int kDraws = 16;           // draws at most to find them
-constexpr double kFirstCap = 2;      // learned cap before anything is known
 constexpr double kCapDown = 0.7;     // multiplicative decrease
 constexpr double kRest = 0.1;        // how long a busy worker is left alone, in usual runs
 constexpr double kCrowdWait = 4;     // in crowding a job waits up to so many times longer for home workers
@@ -45,61 +45,6 @@
 constexpr double kColdJobs = 2;      // usual runs that a dispatcher's part of that budget holds at least
 constexpr double kWindowMargin = 0.9;  // share of a keyed class's window used for further sends
 
-enum PoolName { kOpen, kHome, kPools };  // workers with room, and those of them at home here
-
-struct Worker {
-  WorkerEntry entry;
-  double load = 0;         // own slots in flight
-  double cap = kFirstCap;  // learned: own slots it may hold
-  int out = 0;             // own attempts out
-  int started = 0;         // of these, in work
-  double slow = 1;         // run times here over corrected hints, as if it were warm
-  int strikes = 0;         // signs of illness since the last good one
-  int faults = 0;          // attempts that failed there since the last that was served
-  Time shut_until = 0;     // left alone before this
-  int rank = 0;            // this dispatcher's place in the worker's own order of dispatchers
-  std::vector<int> order;  // the others, in that order
-  Told told;               // slots of those among them that are at home there
-  Window cold_sent, told_sent;  // work sent within the last window while cold, here and by others
-};
-
-enum class Fate : std::uint8_t { out, never_ran, may_have_run };
-struct Attempt {
-  WorkerId worker;
-  int zone, cell;
-  Time sent;
-  Time started = -1;
-  Fate fate = Fate::out;
-  bool recalled = false;
-};
-
-struct Request {
-  Arrival job;
-  Time deadline = 0, held_since = 0;
-  std::uint64_t seq = 0;
-  double load = 1;  // slots or memory, whichever is more
-  double size = 0;  // hint x S_tenant: what it is queued by, before B
-  bool overdue = false, held = false, ended = false, streaming = false, within = false;
-  std::vector<Attempt> attempts;
-};
-
-enum class Wake : std::uint8_t { deadline, overdue, late_start, reindex, dispatch, subscribe };
-using Queue = std::set<std::tuple<double, std::uint64_t, RequestId>>;  // size, arrival, id
-
-struct ClassState {
-  Queue held[2];      // those that can still be in time, and the overdue
-  double factor = 1;  // B
-  double hint_sum = 0, hint_count = 0;
-};
-
-struct KindState {
-  SampledSet pools[kPools];
-  std::map<std::uint64_t, WorkerId> ring;  // ready workers by hash
-  double cores = 1;                        // most own jobs in work at once on a warm worker
-  double slow = 1;                         // run times on warm workers over corrected hints
-  bool reserved = false;                   // some class cannot do without it
-};
-
 }  // namespace
 
 struct Dispatcher::Impl {
@@ -135,11 +80,16 @@
       : s(settings), random(seed), shares(given ? std::move(given) : std::make_shared<TenantShares>()) {
     validate(s);
     classes.resize(s.classes.size());
+    resize();
+  }
+
+  void resize() {
     kinds.resize(at(s.kinds));
     shares->buckets.resize(s.tenant_quota.size());
+    for (KindState& k : kinds) k.reserved = false;
     for (const auto& c : s.classes)
       if (c.kind >= 0) kinds[at(c.kind)].reserved = true;
-    start_delay.assign(at(s.zones), 0.0);
+    start_delay.resize(at(s.zones));
   }
 
   const ClassSettings& cls(const Request& r) const { return s.classes[at(r.job.cls)]; }
@@ -147,17 +97,17 @@
   // ---- calibration: B per class ----
 
   double mean_hint(int c) const {
-    const ClassState& k = classes[at(c)];
+    const Learned& k = classes[at(c)].learned;
     return k.hint_count > 0 ? k.hint_sum / k.hint_count : std::max(1.0, s.classes[at(c)].target_ms);
   }
 
-  double budget(const Request& r) const { return r.job.hint * classes[at(r.job.cls)].factor; }
+  double budget(const Request& r) const { return r.job.hint * classes[at(r.job.cls)].learned.factor; }
 
   double learn(const Request& r, const Attempt& a, Worker& w) {
     double run = now - (a.started >= 0 ? a.started : a.sent);
     double slow = run / budget(r) * warmth(w);
     learn_pace(w, slow);
-    double& b = classes[at(r.job.cls)].factor;
+    double& b = classes[at(r.job.cls)].learned.factor;
     b += kAlpha * (std::clamp(run / r.job.hint, 1 / kRatioLimit, kRatioLimit) - b);
     mean_run = mean_run > 0 ? mean_run + kAlpha * (run - mean_run) : run;
     return slow;
@@ -329,7 +279,8 @@
         double least = INFINITY;
         for (int c = 0; at(c) < classes.size(); ++c) {
           const Queue& q = classes[at(c)].held[late];
-          double b = blocked[at(c)] || q.empty() ? INFINITY : std::get<0>(*q.begin()) * classes[at(c)].factor;
+          bool out_of_it = blocked[at(c)] || q.empty();
+          double b = out_of_it ? INFINITY : std::get<0>(*q.begin()) * classes[at(c)].learned.factor;
           if (b < least) least = b, best = c;
         }
         if (best >= 0) blocked[at(best)] = !release_one(classes[at(best)].held[late]);
@@ -532,7 +483,7 @@
     Request& r = requests[e.request];
     r.job = e;
     bool hinted = std::isfinite(e.hint) && e.hint > 0;
-    if (hinted) classes[at(e.cls)].hint_sum += e.hint, ++classes[at(e.cls)].hint_count;
+    if (hinted) classes[at(e.cls)].learned.add(e.hint);
     if (!hinted) r.job.hint = mean_hint(e.cls);
     r.within = within_share(e.tenant);
     r.size = r.job.hint * e.weigh * (r.within ? 1 : std::min(kTenantLimit, 1 / s.over_share_worth));
@@ -669,7 +620,7 @@
       w = &(workers[n.worker] = fresh);
       w->entry = n;
       w->slow = kinds[at(n.kind)].slow;  // until it has shown its own
-      std::tie(w->rank, w->order) = order_of(life_of(n), s.dispatchers, s.rank);
+      place(*w);
       listed.insert(n.worker);
       cells[n.cell].insert(n.worker);
     }
@@ -677,6 +628,10 @@
     index(*w);
   }
 
+  void place(Worker& w) {
+    std::tie(w.rank, w.order) = order_of(life_of(w.entry), s.dispatchers, s.rank);
+  }
+
   void drop(WorkerId id) {
     if (!listed.erase(id)) return;
     Worker& w = workers[id];
@@ -696,6 +651,23 @@
     alarms.add(now + spread * random(), Wake::subscribe);
   }
 
+  // Jobs that have used up a stricter limit on attempts end here: held, they would wait in vain.
+  void on(const Retune& e) {
+    s = e.settings;
+    std::vector<ClassState> old = classes;
+    classes.resize(s.classes.size());
+    for (int c = 0; at(c) < classes.size(); ++c)
+      if (int f = e.from[at(c)]; f != c) classes[at(c)].learned = f < 0 ? Learned{} : old[at(f)].learned;
+    resize();
+    for (WorkerId id : listed) place(workers[id]);
+    std::vector<RequestId> over;
+    for (const ClassState& c : classes)
+      for (const Queue& q : c.held)
+        for (const auto& [size, seq, id] : q)
+          if (requests.at(id).attempts.size() >= at(s.try_limit)) over.push_back(id);
+    for (RequestId id : over) finish(requests.at(id)), forget_if_done(id);
+  }
+
   void on(const Timer& e) { alarms.rang(e.name); }
   void on(const auto&) {}  // probe results: nothing is decided on them
 
@@ -721,14 +693,19 @@
   }
 };
 
-Dispatcher::Dispatcher(const Settings& settings, std::uint64_t seed, std::shared_ptr<TenantShares> shares)
+Dispatcher::Dispatcher(const Settings& settings, std::uint64_t seed,
+                       std::shared_ptr<TenantShares> shares)
     : impl_(std::make_unique<Impl>(settings, seed, std::move(shares))) {}
 Dispatcher::~Dispatcher() = default;
 Dispatcher::Dispatcher(Dispatcher&&) noexcept = default;
 Dispatcher& Dispatcher::operator=(Dispatcher&&) noexcept = default;
 
 void Dispatcher::handle(Time now, const Event& event, Actions& out) { impl_->handle(now, event, out); }
-double Dispatcher::calibration(int cls) const { return impl_->classes.at(at(cls)).factor; }
+double Dispatcher::calibration(int cls) const { return impl_->classes.at(at(cls)).learned.factor; }
 std::size_t Dispatcher::held() const { return impl_->held_count; }
+bool Dispatcher::avoids(WorkerId worker, Time now) const {
+  const Worker* w = impl_->find(worker);
+  return w && w->entry.state == WorkerState::ready && now < w->shut_until && w->strikes + w->faults > 0;
+}
 
 }  // namespace reedlb
--- a/tests/node/scenario.cpp
+++ b/tests/node/scenario.cpp
@@ -85,6 +85,8 @@
                            {"discovery", "127.0.0.1:" + std::to_string(ports_["disco"])},
                            {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", options.sockets}}},
                            {"settings", settings}};
+  if (options.operators) config["admin"] = "127.0.0.1:0";
+  if (!options.admin.empty()) config["admin"] = options.admin;
   std::ofstream(folder_ + "/config.json") << (config_ = config.dump());
   std::filesystem::create_directory(folder_ + "/deploy");
   std::string own = options.own;
@@ -125,6 +127,7 @@
     }
     throw std::runtime_error("the program did not start: " + log_text_);
   };
+  if (options.operators) operator_port_ = port_after("subsystem=admin event=operators-listen");
   node_port_ = port_after("subsystem=node event=listens");
   if (!options.progress.empty()) progress_port_ = port_after("subsystem=progress event=listens");
 }
@@ -271,6 +274,17 @@
   return own.unread.substr(at, own.unread.find('\n', at) - at);
 }
 
+std::string Scenario::ask(const std::string& call) {
+  int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in to = loopback(operator_port_);
+  if (connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof to) != 0) return close(fd), "none";
+  Line own{fd, "", false};
+  send(own, call + "\n");
+  while (!own.ended && receive(own, Clock::now() + kLimit)) continue;
+  close(fd);
+  return own.unread;
+}
+
 void Scenario::list(const std::string& words) {
   std::istringstream in(words);
   nlohmann::json hosts = nlohmann::json::array();
@@ -310,7 +324,7 @@
       lines_[name] = {own, "", false};
       return;
     }
-    sockaddr_in to = loopback(where == "progress" ? progress_port_ : node_port_);
+    sockaddr_in to = loopback(where == "progress" ? progress_port_ : where == "operators" ? operator_port_ : node_port_);
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     ASSERT_EQ(connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof to), 0) << strerror(errno);
     lines_[name] = {fd, "", false};
@@ -375,6 +389,33 @@
       ASSERT_LT(Clock::now(), until) << name << " is " << have ;
       usleep(5000);
     }
+  } else if (verb == "ask") {
+    std::string call = name + " " + rest_of(in), want = call.substr(call.find(" => ") + 4);
+    std::string answer = ask(call.substr(0, call.find(" => ")));
+    ASSERT_NE(answer.find(want), std::string::npos) << answer;
+  } else if (verb == "figure") {
+    std::string want, have;
+    in >> want;
+    bool least = want.back() == '+';
+    if (least) want.pop_back();
+    for (;;) {
+      std::string all = ask("STATS"), line = "node." + name + ":";
+      auto found = all.find(line);
+      have = found == std::string::npos ? "none" : all.substr(found + line.size(), all.find('|', found) - found - line.size());
+      if (have == want || (least && have != "none" && std::stoll(have) >= std::stoll(want))) break;
+      ASSERT_LT(Clock::now(), until) << name << " is " << have;
+      usleep(5000);
+    }
+  } else if (verb == "settings") {
+    auto config = nlohmann::json::parse(config_);
+    config["settings"].merge_patch(nlohmann::json::parse(name + " " + rest_of(in)));
+    std::ofstream(folder_ + "/config.new") << (config_ = config.dump());
+    std::filesystem::rename(folder_ + "/config.new", folder_ + "/config.json");
+  } else if (verb == "changed") {
+    auto config = nlohmann::json::parse(config_);
+    config.merge_patch(nlohmann::json::parse(name + " " + rest_of(in)));
+    std::ofstream(folder_ + "/config.new") << config.dump();
+    std::filesystem::rename(folder_ + "/config.new", folder_ + "/config.json");
   } else if (verb == "stop") {
     close(std::exchange(listeners_.at(name), -1));
   } else if (verb == "signal") {
--- a/tests/node/scenario.h
+++ b/tests/node/scenario.h
@@ -1,6 +1,6 @@
 // A small language for tests of the node: each line says what a client, an endpoint or discovery does or must see.
 //
-//   open NAME [progress|admin]  connect to the node (or to its progress front, or its admin socket)
+//   open NAME [progress|admin|operators]  connect to the node (or its progress front, admin socket, operators' address)
 //   accept NAME PLACE           wait until the node connects to a stand-in: disco, box, box2 or redis
 //   send NAME TEXT              \r \n \\ as in C; at the start of TEXT, "job ID CLASS PATIENCE" and "stream ..."
 //                               stand for a whole request, "ok 202" for a whole answer, "chunk ..." for one chunk
@@ -16,6 +16,10 @@
 //   stop PLACE                  the stand-in no longer listens
 //   signal NAME                 TERM, HUP or USR1 to the program
 //   config PLACE | config TEXT  the configuration file is replaced: discovery is at that place; or the file is TEXT
+//   settings JSON               the same, with its settings changed so (RFC 7396); from then on this is the usual one
+//   changed JSON                the whole file, changed so for once
+//   ask LINE => TEXT            a call on the operators' address, whose whole answer has TEXT in it
+//   figure NAME VALUE           wait until STATS says so of it; VALUE+ for that or more
 //   own TEXT                    deploy/keelflow.sexp is replaced
 //   cli CODE ARGUMENTS          the command line is run beside the node and ends with that code; what it prints comes
 //                               on the connection "cli"
@@ -45,6 +49,8 @@
   std::string plugin_settings;  // more of (plugins ...)
   std::string settings;         // JSON merged over the usual settings
   int sockets = 1024;           // the descriptor limit of the process too
+  bool operators = false;       // the configuration has an `admin` address
+  std::string admin;            // which, if not any that is free
   bool store = false;           // the progress front uses the stand-in `redis`
 };
 
@@ -68,6 +74,7 @@
   bool receive(Line& from, Clock::time_point until);  // one piece; false when the time is up
   void send(Line& to, std::string text);
   std::string counter(const std::string& name);
+  std::string ask(const std::string& call);
   std::string message(std::string text) const;
   void list(const std::string& words);
   void command(int code, const std::string& arguments);
@@ -80,7 +87,7 @@
   int log_ = -1;
   std::string log_text_;
   std::size_t log_at_ = 0;  // what `log` has not yet seen
-  int node_port_ = 0, progress_port_ = 0;
+  int node_port_ = 0, progress_port_ = 0, operator_port_ = 0;
   std::map<std::string, int> listeners_, ports_;
   std::map<std::string, Line> lines_;
   int version_ = 1;
