--- a/include/reedlb/dispatcher.h
+++ b/include/reedlb/dispatcher.h
@@ -139,8 +139,47 @@
   Settings settings;
   std::vector<int> from;  // by class: the number it learned under until now (its own: the same class), or -1: it is new
 };
+// What a Dispatcher has learned, for one that takes over from it in the same place: told to the fresh one after its list.
+struct Knowledge {
+  struct OfWorker {
+    double slow = 1;      // run times here over corrected hints, as if it were warm
+    double cap = 2;       // own slots it may hold; the first one is what is believed before anything is known
+    int strikes = 0;      // signs of illness since the last good one
+    int faults = 0;       // attempts that failed there since the last that was served
+    Time shut_until = 0;  // left alone before this
+  };
+  struct OfClass {
+    double factor = 1;  // B
+    double hint_sum = 0, hint_count = 0;
+    void add(double hint) { hint_sum += hint, ++hint_count; }
+  };
+  struct OfKind {
+    double cores = 1;  // most own jobs in work at once on a warm worker
+    double slow = 1;   // run times on warm workers over corrected hints
+  };
+  struct Seen {
+    WorkerId worker = 0;
+    Time born = 0;  // of another life nothing is believed
+    OfWorker of;
+    double load = 0, cold_work = 0;  // own slots in flight; work sent within the last window while cold
+  };
+  struct OfFleet {
+    std::vector<double> start_delay;  // usual time from send to start note, by zone
+    double mean_run = 0;              // EMA of own run times
+    double crowding = 0;              // share of late starts and refusals among the latest signs
+  };
+  std::vector<Seen> workers;
+  std::vector<OfClass> classes;  // by number, as many as the settings have, as kinds and zones
+  std::vector<OfKind> kinds;
+  OfFleet fleet;
+};
+// Another process of this same node decides beside this one: each is told (Tell, to the own rank) of what the other
+// sends, and counts it as its own where the rules do.
+struct Twin {
+  bool here = false;
+};
 using Event = std::variant<WorkerList, Arrival, StreamBegun, Started, ClientGone, Timer, PeerMessage,
-                           ProbeResult, Outcome, Retune>;
+                           ProbeResult, Outcome, Retune, Knowledge, Twin>;
 
 // ---- actions ----
 
@@ -168,7 +207,7 @@
   WorkerId worker = 0;
 };
 struct Subscribe {};  // ask for the worker list and its changes
-struct Tell {         // a message to the dispatcher of that rank; it may come late or never
+struct Tell {         // a message to the dispatcher of that rank (the own one: the twin); it may come late or never
   int peer = 0;
   std::string bytes;
 };
@@ -199,6 +238,7 @@
 
   double calibration(int cls) const;  // the factor B of a class, for monitoring
   std::size_t held() const;           // jobs waiting here, for monitoring
+  Knowledge knowledge(Time now) const;
   bool avoids(WorkerId worker, Time now) const;  // it is ready and yet left alone, as it looks ill; for monitoring
 
  private:
--- a/logic/overlay/by_hand.cpp
+++ b/logic/overlay/by_hand.cpp
@@ -8,13 +8,17 @@
 using reedlb::WorkerList;
 using reedlb::WorkerState;
 
+void ByHand::lay_over(reedlb::WorkerEntry& entry) const {
+  if (entry.state == WorkerState::ready && is_out(entry.worker)) entry.state = WorkerState::draining;
+}
+
 WorkerList ByHand::laid_over(WorkerList list) {
   if (list.scope == ListScope::failed) return list;
   if (list.scope != ListScope::delta) listed_.clear();  // a complete list: whoever is missing is gone
   for (reedlb::WorkerEntry& entry : list.entries) {
     if (entry.state == WorkerState::gone) listed_.erase(entry.worker);
     else listed_[entry.worker] = entry;
-    if (entry.state == WorkerState::ready && is_out(entry.worker)) entry.state = WorkerState::draining;
+    lay_over(entry);
   }
   return list;
 }
@@ -32,8 +36,9 @@
 std::optional<WorkerList> ByHand::told_anew(reedlb::WorkerId worker) const {
   auto it = listed_.find(worker);
   if (it == listed_.end() || it->second.state != WorkerState::ready) return std::nullopt;
-  WorkerList told{.scope = ListScope::delta, .entries = {it->second}};
-  if (is_out(worker)) told.entries.front().state = WorkerState::draining;
+  // A change or a whole list would tell the module that discovery has answered, and it would no longer ask.
+  WorkerList told{.scope = ListScope::cached, .entries = {}};
+  for (const auto& [id, entry] : listed_) lay_over(told.entries.emplace_back(entry));
   return told;
 }
 
--- a/logic/overlay/by_hand.h
+++ b/logic/overlay/by_hand.h
@@ -19,7 +19,7 @@
   // What is to be told instead of discovery's word. Keeps that word, to restore it later.
   reedlb::WorkerList laid_over(reedlb::WorkerList list);
 
-  // Out, or back. The list to be told for it: empty where nothing changes for anyone, as for a second call of the
+  // Out, or back. The list to be told for it, a complete one as if from memory: empty where nothing changes for anyone, as for a second call of the
   // same kind or an executor that is not listed.
   std::optional<reedlb::WorkerList> out(reedlb::WorkerId worker, const std::string& host);
   std::optional<reedlb::WorkerList> back(reedlb::WorkerId worker);
@@ -32,6 +32,7 @@
   std::size_t unavailable(const std::function<bool(reedlb::WorkerId)>& avoided) const;
 
  private:
+  void lay_over(reedlb::WorkerEntry& entry) const;
   std::optional<reedlb::WorkerList> told_anew(reedlb::WorkerId worker) const;
 
   std::map<reedlb::WorkerId, reedlb::WorkerEntry> listed_;  // by discovery's word
--- a/node/core/engine.cpp
+++ b/node/core/engine.cpp
@@ -52,6 +52,21 @@
   for (std::size_t i = 0; i < lanes_.size(); ++i) post(static_cast<int>(i), reedlb::Retune{settings, from});
 }
 
+void Engine::twin(std::function<void(const std::string&)> tell) {
+  twin_ = std::move(tell);
+  for (std::size_t i = 0; i < lanes_.size(); ++i) post(static_cast<int>(i), reedlb::Twin{twin_ != nullptr});
+}
+
+std::vector<reedlb::Knowledge> Engine::knowledge() const {
+  std::vector<reedlb::Knowledge> all;
+  for (const auto& lane : lanes_) all.push_back(lane->dispatcher.knowledge(clock_.unix_ms(timers_.now())));
+  return all;
+}
+
+void Engine::learn(const std::vector<reedlb::Knowledge>& knowledge) {
+  for (std::size_t i = 0; i < std::min(lanes_.size(), knowledge.size()); ++i) post(static_cast<int>(i), knowledge[i]);
+}
+
 bool Engine::class_in_use(int cls) const {
   return std::any_of(requests_.begin(), requests_.end(), [&](const auto& r) { return r.second.job.cls == cls; });
 }
@@ -92,6 +107,7 @@
     return endpoints_->probe(a->worker);
   }
   if (std::holds_alternative<reedlb::Subscribe>(action)) return destinations_->subscribe();
+  if (const auto* a = std::get_if<reedlb::Tell>(&action); a && a->peer == settings_.rank) return twin_ ? twin_(a->bytes) : void();
   if (const auto* a = std::get_if<reedlb::Tell>(&action)) return peers_ ? peers_->tell(a->peer, a->bytes) : void();
   if (const auto* a = std::get_if<reedlb::Refuse>(&action)) {
     FinalAnswer answer{.kind = FinalAnswer::Kind::refused, .retry_after = from_ms(a->retry_after_ms)};
--- a/node/core/engine.h
+++ b/node/core/engine.h
@@ -30,6 +30,10 @@
   void screened(RequestId id, const ScreenPort::Said& said);
   // By class number; whose figures its requests count under.
   void name_classes(const std::vector<std::string>& names);
+  // Another process of this node: what the modules tell one another goes through `tell`. Null: it has gone.
+  void twin(std::function<void(const std::string&)> tell);
+  std::vector<reedlb::Knowledge> knowledge() const;  // by lane
+  void learn(const std::vector<reedlb::Knowledge>& knowledge);
   // Settings that a running node takes over. Class numbers in use keep their meaning; `from`: see reedlb::Retune.
   void retune(const reedlb::Settings& settings, std::vector<int> from, Limits limits);
   bool class_in_use(int cls) const;
@@ -113,6 +117,7 @@
   EndpointPort* endpoints_ = nullptr;
   DestinationPort* destinations_ = nullptr;
   PeerPort* peers_ = nullptr;
+  std::function<void(const std::string&)> twin_;
   std::unordered_map<RequestId, Request> requests_;
   std::unordered_map<std::string, RequestId> by_name_;  // of all in requests_
   std::deque<std::pair<int, reedlb::Event>> inbox_;
--- a/node/discovery/destination_set.cpp
+++ b/node/discovery/destination_set.cpp
@@ -75,7 +75,9 @@
 
 void DestinationSet::on_head(const net::Head& head) {
   accepted_ = head.status == 200;
-  if (accepted_) expect(kSilence);
+  if (!accepted_) return;
+  expect(kSilence);
+  if (on_watching) on_watching();
 }
 
 void DestinationSet::on_body(std::string_view bytes) {
--- a/node/discovery/destination_set.h
+++ b/node/discovery/destination_set.h
@@ -26,6 +26,7 @@
   ~DestinationSet() override;
 
   void known(const HostList& list);  // what this node had last; told as cached
+  std::function<void()> on_watching;  // discovery has taken the watch: what has changed comes next, if anything has
   // Opens a watch, or opens it anew where it broke. When to ask again after a failure is the module's choice;
   // this side only keeps a floor under it, so that a discovery that is down is not hammered.
   void subscribe() override;
--- a/node/discovery/host_list.h
+++ b/node/discovery/host_list.h
@@ -36,6 +36,8 @@
 HostList decode_list(const nlohmann::json& list, const Names& names);
 
 // The module wants numbers, and the same ones at every node: they are a hash of the name.
+using reedlb::WorkerId;
+
 reedlb::WorkerId worker_id(std::string_view host);
 
 }  // namespace keelflow
--- a/node/inbound/platform_front.cpp
+++ b/node/inbound/platform_front.cpp
@@ -192,8 +192,9 @@
     ++counters_.requests_rejected;
     return connection.respond(400, "malformed call-back\n");
   }
+  // Answered only when it is in good hands: what is not answered comes again.
+  if (!outbound_.news(*news) && pass_news && !pass_news(request.body)) return connection.abandon();
   connection.respond(200, "");
-  outbound_.news(*news);
 }
 
 }  // namespace keelflow
--- a/node/inbound/server.cpp
+++ b/node/inbound/server.cpp
@@ -309,7 +309,7 @@
 // helped: others make room first, and only when none can be spared does accepting pause. Who connects faster than we
 // accept must not hold the loop: after some the others get their turn.
 void Server::accept() {
-  for (int count = 0; fd_ >= 0; ++count) {
+  for (int count = 0; fd_ >= 0 && accepting_; ++count) {
     if (count == kMostAccepts) return loop_.next_turn(registration_);
     if (connections_.size() >= most_ + most_ / kReserve && !free_one()) return pause();
     int fd = ::accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
@@ -367,6 +367,11 @@
 
 void Server::drain() { draining_ = true; }
 
+void Server::accepting(bool on) {
+  accepting_ = on;
+  if (on) accept();
+}
+
 void Server::close_idle() {
   std::vector<InboundConnection*> idle;
   for (auto& [raw, connection] : connections_)
--- a/node/inbound/server.h
+++ b/node/inbound/server.h
@@ -97,6 +97,8 @@
   // A Unix socket of mode 0600. A leftover of a program that has ended is replaced; one that answers is an error.
   void listen(const std::string& path);
   net::Address address() const;              // the one bound
+  void accepting(bool on);  // off: connections are left to others who hold the listening socket
+  void limit(std::size_t most) { most_ = most; }
   // From here on answers end their connection. Accepting goes on until `close`.
   void drain();
   void close_idle();
@@ -124,7 +126,7 @@
   std::string path_;  // of a Unix socket: removed at the end
   std::uint64_t registration_ = 0;
   TimerId pause_ = 0;
-  bool draining_ = false;
+  bool draining_ = false, accepting_ = true;
   std::unordered_map<InboundConnection*, std::unique_ptr<InboundConnection>> connections_;
 };
 
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -14,6 +14,9 @@
 #include "config/retune.h"
 #include "core/engine.h"
 #include "discovery/destination_set.h"
+#include "handover/handover.h"
+#include "handover/knowledge_form.h"
+#include "handover/succession.h"
 #include "inbound/platform_front.h"
 #include "inbound/server.h"
 #include "log/log.h"
@@ -36,6 +39,8 @@
 // SIGKILL comes 3.7 s after SIGTERM at the earliest. What came in more than 0.7 s after SIGTERM must be answered by then.
 constexpr Duration kForgiven = 600ms, kLastAnswer = 3400ms;
 constexpr Duration kDrainCheck = 20ms;
+constexpr Duration kPeersRetry = 50ms;
+constexpr Duration kListArrives = 30ms;
 constexpr std::size_t kAdminConnections = 6;
 
 struct Budget {  // of descriptors, shared by all sockets of the process
@@ -64,7 +69,7 @@
         engine_(config_.settings, config_.seed, {config_.most_held, config_.tick}, loop_, clock_, counters_),
         traffic_(loop_, clock_, engine_, {config_.names, config_.settings}, counters_),
         destinations_(loop_, config_.discovery, config_.names,
-                      [this](reedlb::WorkerList list) { traffic_.list(by_hand_.laid_over(std::move(list))); }, counters_),
+                      [this](reedlb::WorkerList list) { take_list(std::move(list)); }, counters_),
         pool_(loop_, config_.idle_limit * 6 / 10, budget_.idle_outbound, counters_),
         outbound_(loop_, engine_, destinations_, pool_, {config_.connect_timeout, config_.report_names}, counters_),
         peers_(loop_, config_.peers, config_.settings.rank,
@@ -83,14 +88,14 @@
     traffic_.configure(own_.routes, own_.moves);
     plugins_.configure(own_.plugins, plugins::load_all(own_.plugins, files_.own, config_.names));
     server_.on_pressure = [this] { return pool_.free_one(); };
+    destinations_.on_watching = [this] { watching(); };
     destinations_.known(config_.known);
     signals_.open();
     if (config_.admin) open_operators();
-    if (config_.listen_fd >= 0) server_.inherit(config_.listen_fd);
-    else server_.listen(config_.listen);
-    log::info(Subsystem::node, "listens", {{"name", config_.name}, {"address", server_.address().text()}});
-    if (config_.peer_listen && !peers_.open(*config_.peer_listen))
-      log::error(Subsystem::node, "peers-unheard", {{"address", config_.peer_listen->text()}, {"errno", errno}});
+    front_.pass_news = [this](const std::string& body) { return !handover_ || handover_->pass_news(body); };
+    if (config_.listen_fd >= 0) take_over_from_elder();
+    else serve();
+    if (config_.peer_listen) open_peers();
     if (own_.progress.listen) open_progress();
     if (!own_.admin.socket.empty()) open_admin();
     loop_.run();
@@ -164,7 +169,100 @@
     log::info(Subsystem::admin, "operators-listen", {{"name", config_.name}, {"address", operator_server_->address().text()}});
   }
 
+  void serve() {
+    serving_ = true;
+    if (config_.listen_fd >= 0) server_.inherit(config_.listen_fd);
+    else server_.listen(config_.listen);
+    if (handover_) handover_->listen();
+    log::info(Subsystem::node, "listens", {{"name", config_.name}, {"address", server_.address().text()}});
+  }
+
+  // Whoever starts while another process of this node serves asks it first. Until both are one they share all limits.
+  void take_over_from_elder() {
+    const char* folder = std::getenv("TMPDIR");
+    if (folder && *folder)
+      handover_ = std::make_unique<Handover>(loop_, folder, config_.name, Handover::Deeds{
+          .welcome = [this] { return welcome(); },
+          .welcomed = [this](const nlohmann::json& word) { welcomed(word); },
+          .partner = [this](bool here) { partner(here); },
+          .successor_ready = [this] { successor_ready(); },
+          .by_hand = [this](const std::string& host, bool out) { lay_over(host, out); },
+          .note = [this](const std::string& note) { engine_.told(config_.settings.rank, note); },
+          .news = [this](const std::string& body) {
+            auto news = decode_news(body, config_.report_names);
+            return news && outbound_.news(*news);
+          }}, counters_);
+    succession_.emplace(clock_.unix_ms(loop_.now()), handover_ && handover_->ask());
+    loop_.at(clock_.at(succession_->latest()), [this] { serve_if_ready(); });
+  }
+
+  void serve_if_ready() {
+    if (!serving_ && succession_ && not_ready().empty()) serve();
+  }
+
+  nlohmann::json welcome() const {
+    nlohmann::json knowledge = nlohmann::json::array();
+    for (const reedlb::Knowledge& k : engine_.knowledge()) knowledge.push_back(to_json(k, config_.names));
+    return {{"out", by_hand_.hosts()}, {"knowledge", knowledge}};
+  }
+
+  void welcomed(const nlohmann::json& word) {
+    for (const auto& host : word.at("out")) lay_over(host.get<std::string>(), true);
+    learned_.clear();
+    for (const auto& told : word.at("knowledge")) learned_.push_back(from_json(told, config_.names));
+    engine_.learn(learned_);  // of the executors on the list that the platform keeps; of the others when they are listed
+    succession_->answered();
+    log::info(Subsystem::node, "taken-over", {{"out", word.at("out").size()}});
+    serve_if_ready();
+  }
+
+  void take_list(reedlb::WorkerList list) {
+    traffic_.list(by_hand_.laid_over(std::move(list)));
+    if (!serving_ && !learned_.empty()) engine_.learn(learned_);
+  }
+
+  // What discovery has to tell follows at once, in this turn of the loop or the next.
+  void watching() {
+    if (!succession_ || serving_) return;
+    loop_.at(loop_.now() + kListArrives, [this] {
+      succession_->listed();
+      serve_if_ready();
+    });
+  }
+
+  void partner(bool here) {
+    log::info(Subsystem::node, here ? "partner-here" : "partner-gone");
+    server_.limit(handover::part(budget_.inbound, here));
+    pool_.most_idle(handover::part(budget_.idle_outbound, here));
+    if (here) {
+      engine_.twin([this](const std::string& note) { handover_->tell_note(note); });
+    } else {
+      engine_.twin(nullptr);
+      successor_ = false;
+      server_.accepting(true);
+      if (succession_) succession_->gone();
+      serve_if_ready();
+    }
+  }
+
+  void successor_ready() {
+    successor_ = true;
+    if (counters_.drain_stage > 0) leave();
+  }
+
+  // While the process before us lives the address is its own.
+  void open_peers() {
+    if (peers_.open(*config_.peer_listen)) return;
+    if (handover_ && errno == EADDRINUSE)
+      return void(loop_.at(loop_.now() + kPeersRetry, [this] { open_peers(); }));
+    log::error(Subsystem::node, "peers-unheard", {{"address", config_.peer_listen->text()}, {"errno", errno}});
+  }
+
   std::string not_ready() const {
+    if (!serving_) {
+      std::string why = succession_ ? succession_->waits_for(clock_.unix_ms(loop_.now())) : "it starts";
+      if (!why.empty()) return why;
+    }
     if (counters_.drain_stage > 0) return "it was told to end";
     return "";
   }
@@ -178,10 +276,16 @@
     WorkerId worker = worker_id(host);
     const Destination* known = destinations_.find(worker);
     if (!(known && known->host == host) && !by_hand_.is_out(worker)) return "no executor '" + host + "' was ever listed";
+    lay_over(host, out);
+    if (handover_) handover_->tell_by_hand(host, out);
+    return "";
+  }
+
+  void lay_over(const std::string& host, bool out) {
+    WorkerId worker = worker_id(host);
     auto told = out ? by_hand_.out(worker, host) : by_hand_.back(worker);
     if (told) traffic_.list(std::move(*told));
     log::info(Subsystem::admin, out ? "taken-out" : "called-back", {{"executor", host}});
-    return "";
   }
 
   nlohmann::json status() {
@@ -242,15 +346,21 @@
     plugins_.drain();
     TimePoint told = loop_.now();
     loop_.at(told + kForgiven, [this, told] {
-      counters_.drain_stage = 2;
+      if (counters_.drain_stage < 2) counters_.drain_stage = 2;
       engine_.answer_all_by(told + kLastAnswer);
     });
-    loop_.at(told + kStillServing, [this] {
-      counters_.drain_stage = 3;
-      server_.drain();
-      if (progress_server_) progress_server_->drain();
-      check_drained();
-    });
+    loop_.at(told + kStillServing, [this] { leave(); });
+    if (handover::leaves_accepting(true, successor_)) leave();
+  }
+
+  // With a successor at once: it accepts from the same socket, and clients lose nothing by coming back to it.
+  void leave() {
+    if (counters_.drain_stage == 3) return;
+    counters_.drain_stage = 3;
+    if (successor_) server_.accepting(false);
+    server_.drain();
+    if (progress_server_) progress_server_->drain();
+    check_drained();
   }
 
   void check_drained() {
@@ -258,7 +368,7 @@
     if (progress_server_) progress_server_->close_idle();
     bool over = engine_.open_requests() == 0 && engine_.open_attempts() == 0 && server_.busy() == 0 &&
                 (!progress_server_ || progress_server_->busy() == 0);
-    if (over) return loop_.stop();
+    if (over && (!handover_ || handover_->flushed())) return loop_.stop();
     loop_.at(loop_.now() + kDrainCheck, [this] { check_drained(); });
   }
 
@@ -286,6 +396,10 @@
   std::unique_ptr<Server> progress_server_;
   std::unique_ptr<AdminFront> admin_front_;
   std::unique_ptr<Server> admin_server_;
+  std::unique_ptr<Handover> handover_;
+  std::optional<handover::Succession> succession_;  // where the platform lends the listening socket
+  std::vector<reedlb::Knowledge> learned_;          // by the process before us
+  bool serving_ = false, successor_ = false;
   Signals signals_;
 };
 
--- a/node/outbound/outbound.cpp
+++ b/node/outbound/outbound.cpp
@@ -85,13 +85,14 @@
   raw->begin(*to);
 }
 
-void Outbound::news(const News& news) {
+bool Outbound::news(const News& news) {
   ++counters_.news_received;
   auto name = by_name_.find(news.id);
   if (name != by_name_.end())
     for (auto it = calls_.lower_bound({name->second, 0}); it != calls_.end() && it->first.first == name->second; ++it)
-      if (it->second->host() == news.from) return it->second->news(news);
+      if (it->second->host() == news.from) return it->second->news(news), true;
   ++counters_.news_unmatched;
+  return false;
 }
 
 void Outbound::ended(OutboundCall& call, AttemptEnd end) {
--- a/node/outbound/outbound.h
+++ b/node/outbound/outbound.h
@@ -45,7 +45,8 @@
   void retune(Settings settings) { settings_ = std::move(settings); }
 
   // A call-back is believed only if its id, its sender and a running attempt fit; others change nothing.
-  void news(const News& news);
+  // False: of no attempt that this process has.
+  bool news(const News& news);
 
   std::size_t calls() const { return calls_.size(); }
 
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -2,11 +2,7 @@
 // mechanism, its source (the paper "DriftSched") and each exception named below.
 #include <algorithm>
 #include <cmath>
-#include <map>
-#include <set>
-#include <tuple>
 #include <unordered_map>
-#include <utility>
 
 #include "containers.h"
 #include "peers.h"
@@ -47,7 +43,7 @@
 
 }  // namespace
 
-struct Dispatcher::Impl {
+struct Dispatcher::Impl : Knowledge::OfFleet {
   Settings s;
   Random random;
   Time now = 0;
@@ -70,10 +66,7 @@
   std::set<WorkerId> tried;  // while a job is picked for: who had it before
   Time next_dispatch = 0;  // when a sample that missed is tried again
 
-  std::vector<double> start_delay;  // usual time from send to start note, by zone
-  double mean_run = 0,
-         crowding = 0;  // EMA of own run times; share of late starts and refusals among the latest signs
-  bool subscribed = false, asking = false;
+  bool subscribed = false, asking = false, twin = false;
   double ask_backoff = 0;
 
   Impl(const Settings& settings, std::uint64_t seed, std::shared_ptr<TenantShares> given)
@@ -97,7 +90,7 @@
   // ---- calibration: B per class ----
 
   double mean_hint(int c) const {
-    const Learned& k = classes[at(c)].learned;
+    const Knowledge::OfClass& k = classes[at(c)].learned;
     return k.hint_count > 0 ? k.hint_sum / k.hint_count : std::max(1.0, s.classes[at(c)].target_ms);
   }
 
@@ -163,8 +156,10 @@
   // home there tell one another of their slots and signs, and count what they hear as if they had seen it.
   bool talks() const { return s.peers && s.dispatchers >= kTellingFleet; }
   void tell(const Worker& w, Sign sign, double slow = 1, double work = 0) {
-    if (!talks()) return;
+    if (!talks() && !twin) return;
     auto note = write_note({w.entry.worker, mark_of(w.entry), w.load, sign, slow, work});
+    if (twin) out->emplace_back(Tell{s.rank, note});
+    if (!talks()) return;
     for (int i = 0; i < home_ranks - (w.rank < home_ranks) && at(i) < w.order.size(); ++i)
       out->emplace_back(Tell{w.order[at(i)], note});
   }
@@ -183,7 +178,8 @@
     if (!w || note->life != mark_of(w->entry)) return;
     bool was_full = slots(*w) >= w->cap;
     w->told.set(e.peer, note->load, now + kToldLife);
-    if (note->sign == Sign::sent && cold(*w)) w->told_sent.add(now, note->work);
+    bool own = e.peer == s.rank;  // the twin's budget is the same one
+    if (note->sign == Sign::sent && cold(*w)) (own ? w->cold_sent : w->told_sent).add(now, note->work);
     if (note->sign == Sign::served) learn_pace(*w, note->slow);
     take_sign(*w, note->sign);
     // All who wait for a slot hear of it at once: each gives the others a moment to fill it first.
@@ -279,8 +275,8 @@
         double least = INFINITY;
         for (int c = 0; at(c) < classes.size(); ++c) {
           const Queue& q = classes[at(c)].held[late];
-          bool out_of_it = blocked[at(c)] || q.empty();
-          double b = out_of_it ? INFINITY : std::get<0>(*q.begin()) * classes[at(c)].learned.factor;
+          double f = blocked[at(c)] || q.empty() ? INFINITY : classes[at(c)].learned.factor;
+          double b = f < INFINITY ? std::get<0>(*q.begin()) * f : f;
           if (b < least) least = b, best = c;
         }
         if (best >= 0) blocked[at(best)] = !release_one(classes[at(best)].held[late]);
@@ -657,15 +653,40 @@
     std::vector<ClassState> old = classes;
     classes.resize(s.classes.size());
     for (int c = 0; at(c) < classes.size(); ++c)
-      if (int f = e.from[at(c)]; f != c) classes[at(c)].learned = f < 0 ? Learned{} : old[at(f)].learned;
+      classes[at(c)].learned = e.from[at(c)] < 0 ? ClassState{}.learned : old[at(e.from[at(c)])].learned;
     resize();
     for (WorkerId id : listed) place(workers[id]);
-    std::vector<RequestId> over;
     for (const ClassState& c : classes)
-      for (const Queue& q : c.held)
-        for (const auto& [size, seq, id] : q)
-          if (requests.at(id).attempts.size() >= at(s.try_limit)) over.push_back(id);
-    for (RequestId id : over) finish(requests.at(id)), forget_if_done(id);
+      for (const Queue& held : c.held)
+        for (const auto& [size, seq, id] : Queue(held))
+          if (requests.at(id).attempts.size() >= at(s.try_limit)) finish(requests.at(id)), forget_if_done(id);
+  }
+
+  void on(const Twin& e) { twin = e.here; }
+
+  void on(const Knowledge& k) {
+    for (int c = 0; at(c) < classes.size(); ++c) classes[at(c)].learned = k.classes.at(at(c));
+    for (int i = 0; i < s.kinds; ++i) static_cast<Knowledge::OfKind&>(kinds[at(i)]) = k.kinds.at(at(i));
+    static_cast<OfFleet&>(*this) = k.fleet;
+    for (const Knowledge::Seen& seen : k.workers) {
+      Worker* w = find(seen.worker);
+      if (!w || w->entry.born != seen.born) continue;
+      static_cast<Knowledge::OfWorker&>(*w) = seen.of;
+      w->told.set(s.rank, seen.load, now + kToldLife);
+      w->cold_sent.add(now, seen.cold_work);
+      for (Time when : {w->shut_until, now + kToldLife}) alarms.add(when, Wake::reindex, seen.worker);
+      index(*w);
+    }
+  }
+
+  Knowledge knowledge(Time t) {
+    Knowledge k{{}, {}, {kinds.begin(), kinds.end()}, *this};
+    for (const ClassState& c : classes) k.classes.push_back(c.learned);
+    for (WorkerId id : listed) {
+      Worker& w = workers[id];
+      k.workers.push_back({id, w.entry.born, w, w.load, w.cold_sent.sum(t - s.fall_ms)});
+    }
+    return k;
   }
 
   void on(const Timer& e) { alarms.rang(e.name); }
@@ -703,6 +724,7 @@
 void Dispatcher::handle(Time now, const Event& event, Actions& out) { impl_->handle(now, event, out); }
 double Dispatcher::calibration(int cls) const { return impl_->classes.at(at(cls)).learned.factor; }
 std::size_t Dispatcher::held() const { return impl_->held_count; }
+Knowledge Dispatcher::knowledge(Time now) const { return impl_->knowledge(now); }
 bool Dispatcher::avoids(WorkerId worker, Time now) const {
   const Worker* w = impl_->find(worker);
   return w && w->entry.state == WorkerState::ready && now < w->shut_until && w->strikes + w->faults > 0;
--- /dev/null
+++ b/tests/logic/operation_test.cpp
@@ -0,0 +1,106 @@
+// Executors out by hand, and who is ready in a handover.
+#include <gtest/gtest.h>
+
+#include "handover/succession.h"
+#include "overlay/by_hand.h"
+
+namespace keelflow {
+namespace {
+
+using overlay::ByHand;
+using reedlb::ListScope;
+using reedlb::WorkerEntry;
+using reedlb::WorkerList;
+using reedlb::WorkerState;
+
+constexpr double kLater = 12345;
+
+WorkerList list(ListScope scope, std::vector<std::pair<reedlb::WorkerId, WorkerState>> workers, double born = 0) {
+  WorkerList out{.scope = scope, .entries = {}};
+  for (auto [worker, state] : workers) {
+    WorkerEntry entry;
+    entry.worker = worker, entry.state = state, entry.born = born;
+    out.entries.push_back(entry);
+  }
+  return out;
+}
+
+WorkerState told(const WorkerList& all, reedlb::WorkerId worker) {
+  for (const WorkerEntry& entry : all.entries)
+    if (entry.worker == worker) return entry.state;
+  return WorkerState::gone;
+}
+
+TEST(ByHand, WhatDiscoverySaysInBetweenBringsNobodyBack) {
+  ByHand hand;
+  hand.laid_over(list(ListScope::full, {{1, WorkerState::ready}, {2, WorkerState::ready}}));
+  auto out = hand.out(1, "one");
+  ASSERT_TRUE(out);
+  EXPECT_EQ(told(*out, 1), WorkerState::draining);
+  EXPECT_FALSE(hand.out(1, "one"));
+  EXPECT_EQ(told(hand.laid_over(list(ListScope::delta, {{1, WorkerState::gone}})), 1), WorkerState::gone);
+  EXPECT_EQ(hand.listed(), 1u);
+  EXPECT_EQ(told(hand.laid_over(list(ListScope::delta, {{1, WorkerState::ready}}, kLater)), 1), WorkerState::draining);
+  EXPECT_EQ(told(hand.laid_over(list(ListScope::full, {{1, WorkerState::ready}}, kLater)), 1), WorkerState::draining);
+  auto back = hand.back(1);
+  ASSERT_TRUE(back);
+  EXPECT_EQ(told(*back, 1), WorkerState::ready);
+  EXPECT_EQ(back->entries.front().born, kLater);  // rule 4 counts from there
+  EXPECT_FALSE(hand.back(1));
+}
+
+// Anything but a list from memory tells the module that discovery has answered: it would stop asking.
+TEST(ByHand, IsNoWordOfDiscoverys) {
+  ByHand hand;
+  hand.laid_over(list(ListScope::cached, {{1, WorkerState::ready}, {2, WorkerState::ready}}));
+  auto out = hand.out(1, "one");
+  ASSERT_TRUE(out);
+  EXPECT_EQ(out->scope, ListScope::cached);
+  EXPECT_EQ(out->entries.size(), 2u);
+  EXPECT_EQ(hand.laid_over(list(ListScope::failed, {})).scope, ListScope::failed);
+  EXPECT_EQ(hand.listed(), 2u);
+}
+
+TEST(ByHand, OneThatIsNotListedYetIsOutWhenItComes) {
+  ByHand hand;
+  EXPECT_FALSE(hand.out(7, "seven"));
+  EXPECT_EQ(told(hand.laid_over(list(ListScope::full, {{7, WorkerState::ready}})), 7), WorkerState::draining);
+  EXPECT_EQ(hand.hosts(), std::vector<std::string>{"seven"});
+}
+
+TEST(ByHand, EachUnavailableOneCountsOnce) {
+  ByHand hand;
+  hand.laid_over(list(ListScope::full, {{1, WorkerState::ready}, {2, WorkerState::draining}, {3, WorkerState::ready}, {4, WorkerState::ready}}));
+  hand.out(1, "one");
+  hand.out(2, "two");
+  hand.out(9, "not listed");
+  EXPECT_EQ(hand.unavailable([](auto worker) { return worker == 1 || worker == 3; }), 3u);
+}
+
+TEST(Succession, WaitsForTheElderAndForDiscoveryAndForNobodyForever) {
+  handover::Succession alone(1000, false);
+  EXPECT_EQ(alone.waits_for(1000), "");
+  handover::Succession both(1000, true);
+  EXPECT_NE(both.waits_for(1000), "");
+  both.listed();
+  EXPECT_NE(both.waits_for(1100), "");
+  both.answered();
+  EXPECT_EQ(both.waits_for(1100), "");
+  handover::Succession silent(1000, true);
+  silent.listed();
+  EXPECT_NE(silent.waits_for(1000 + handover::kAnswerWithin - 1), "");
+  EXPECT_EQ(silent.waits_for(silent.latest()), "");
+  handover::Succession dead(1000, true);
+  dead.gone();
+  EXPECT_NE(dead.waits_for(1001), "");
+  EXPECT_EQ(dead.waits_for(dead.latest()), "");
+}
+
+TEST(Succession, AnElderLeavesTheSocketOnlyToOneThatIsReady) {
+  EXPECT_FALSE(handover::leaves_accepting(true, false));
+  EXPECT_FALSE(handover::leaves_accepting(false, true));
+  EXPECT_TRUE(handover::leaves_accepting(true, true));
+}
+
+}  // namespace
+}  // namespace keelflow
