--- a/node/handover/handover.cpp
+++ b/node/handover/handover.cpp
@@ -201,6 +201,12 @@
   return tell({{"say", "news"}, {"body", body}});
 }
 
+bool Handover::elder_here() const {
+  for (const auto& [number, link] : links_)
+    if (link->elder()) return true;
+  return false;
+}
+
 bool Handover::flushed() const {
   for (const auto& [number, link] : links_)
     if (link->pending() > 0) return false;
--- a/node/handover/handover.h
+++ b/node/handover/handover.h
@@ -42,6 +42,7 @@
   bool pass_news(std::string_view body);
   bool partner() const { return !links_.empty(); }
   bool flushed() const;
+  bool elder_here() const;  // one that others reach through this process
 
  private:
   class Link;
--- a/node/inbound/server.cpp
+++ b/node/inbound/server.cpp
@@ -21,6 +21,15 @@
   if (!ok) throw std::system_error(errno, std::generic_category(), what);
 }
 
+// A failed attempt to listen may be followed by others: it must not keep its descriptor.
+struct Descriptor {
+  int fd;
+  ~Descriptor() {
+    if (fd >= 0) ::close(fd);
+  }
+  int release() { return std::exchange(fd, -1); }
+};
+
 using namespace std::chrono_literals;
 // From a request's first byte to its last, and from a connection's start to the first byte of all: one that cannot
 // be read is owed an end within 3 s.
@@ -250,12 +259,12 @@
 Server::~Server() { close(); }
 
 void Server::listen(const net::Address& address) {
-  int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  must(fd >= 0, "socket");
+  Descriptor made{::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)};
+  must(made.fd >= 0, "socket");
   int on = 1;
-  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-  must(::bind(fd, reinterpret_cast<const sockaddr*>(&address.in), sizeof address.in) == 0, "bind");
-  serve(fd);
+  setsockopt(made.fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  must(::bind(made.fd, reinterpret_cast<const sockaddr*>(&address.in), sizeof address.in) == 0, "bind");
+  serve(made.release());
 }
 
 // Whoever holds it has set its backlog. It does not block for them either; the flag is the socket's, not ours.
@@ -273,20 +282,18 @@
   if (path.size() >= sizeof to.sun_path) throw std::system_error(ENAMETOOLONG, std::generic_category(), path);
   path.copy(to.sun_path, sizeof to.sun_path - 1);
   const auto* address = reinterpret_cast<const sockaddr*>(&to);
-  int fd = ::socket(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  must(fd >= 0, "socket");
-  if (::connect(fd, address, sizeof to) == 0) throw std::system_error(EADDRINUSE, std::generic_category(), path);
-  bool leftover = errno == ECONNREFUSED;
-  ::close(fd);
-  if (leftover) ::unlink(path.c_str());
-  fd = ::socket(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  must(fd >= 0, "socket");
+  Descriptor probe{::socket(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)};
+  must(probe.fd >= 0, "socket");
+  if (::connect(probe.fd, address, sizeof to) == 0) throw std::system_error(EADDRINUSE, std::generic_category(), path);
+  if (errno == ECONNREFUSED) ::unlink(path.c_str());
+  Descriptor made{::socket(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)};
+  must(made.fd >= 0, "socket");
   mode_t usual = ::umask(0177);  // there is never a moment in which others may connect
-  bool bound = ::bind(fd, address, sizeof to) == 0;
+  bool bound = ::bind(made.fd, address, sizeof to) == 0;
   ::umask(usual);
   must(bound, path.c_str());
   path_ = path;
-  serve(fd);
+  serve(made.release());
 }
 
 void Server::serve(int fd) {
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -39,7 +39,7 @@
 // SIGKILL comes 3.7 s after SIGTERM at the earliest. What came in more than 0.7 s after SIGTERM must be answered by then.
 constexpr Duration kForgiven = 600ms, kLastAnswer = 3400ms;
 constexpr Duration kDrainCheck = 20ms;
-constexpr Duration kPeersRetry = 50ms;
+constexpr Duration kRetryAddress = 50ms;
 constexpr Duration kListArrives = 30ms;
 constexpr std::size_t kAdminConnections = 6;
 
@@ -147,15 +147,35 @@
                                                       ProgressFront::Settings{.heartbeat = p.heartbeat}, counters_);
     progress_server_ = std::make_unique<Server>(loop_, *progress_front_, budget_.inbound / 3, counters_);
     progress_server_->on_pressure = server_.on_pressure;
-    progress_server_->listen(*p.listen);
-    log::info(Subsystem::progress, "listens", {{"name", config_.name}, {"address", progress_server_->address().text()}});
+    listen_when_free(*progress_server_, *p.listen, [this] {
+      log::info(Subsystem::progress, "listens", {{"name", config_.name}, {"address", progress_server_->address().text()}});
+    });
+  }
+
+  // While the process before us lives, what our own settings name is in its hands.
+  template <typename Where>
+  void listen_when_free(Server& server, const Where& where, std::function<void()> then) {
+    try {
+      server.listen(where);
+    } catch (const std::system_error& fault) {
+      if (!handover_ || !handover_->partner() || fault.code().value() != EADDRINUSE) throw;
+      return void(loop_.at(loop_.now() + kRetryAddress, [this, &server, where, then] {
+        try {
+          listen_when_free(server, where, then);
+        } catch (const std::system_error& later) {
+          log::error(Subsystem::node, "not-listening", {{"fault", later.what()}});
+        }
+      }));
+    }
+    then();
   }
 
   void open_admin() {
     admin_front_ = std::make_unique<AdminFront>(traffic_, plugins_, [this] { return status(); }, counters_);
     admin_server_ = std::make_unique<Server>(loop_, *admin_front_, kAdminConnections, counters_);
-    admin_server_->listen(own_.admin.socket);
-    log::info(Subsystem::admin, "listens", {{"name", config_.name}, {"socket", own_.admin.socket}});
+    listen_when_free(*admin_server_, own_.admin.socket, [this] {
+      log::info(Subsystem::admin, "listens", {{"name", config_.name}, {"socket", own_.admin.socket}});
+    });
   }
 
   void open_operators() {
@@ -180,7 +200,8 @@
   // Whoever starts while another process of this node serves asks it first. Until both are one they share all limits.
   void take_over_from_elder() {
     const char* folder = std::getenv("TMPDIR");
-    if (folder && *folder)
+    if (!folder || !*folder) log::warning(Subsystem::node, "no-handover", {{"fault", "TMPDIR is not set"}});
+    else
       handover_ = std::make_unique<Handover>(loop_, folder, config_.name, Handover::Deeds{
           .welcome = [this] { return welcome(); },
           .welcomed = [this](const nlohmann::json& word) { welcomed(word); },
@@ -254,7 +275,7 @@
   void open_peers() {
     if (peers_.open(*config_.peer_listen)) return;
     if (handover_ && errno == EADDRINUSE)
-      return void(loop_.at(loop_.now() + kPeersRetry, [this] { open_peers(); }));
+      return void(loop_.at(loop_.now() + kRetryAddress, [this] { open_peers(); }));
     log::error(Subsystem::node, "peers-unheard", {{"address", config_.peer_listen->text()}, {"errno", errno}});
   }
 
@@ -368,7 +389,7 @@
     if (progress_server_) progress_server_->close_idle();
     bool over = engine_.open_requests() == 0 && engine_.open_attempts() == 0 && server_.busy() == 0 &&
                 (!progress_server_ || progress_server_->busy() == 0);
-    if (over && (!handover_ || handover_->flushed())) return loop_.stop();
+    if (over && (!handover_ || (handover_->flushed() && !handover_->elder_here()))) return loop_.stop();
     loop_.at(loop_.now() + kDrainCheck, [this] { check_drained(); });
   }
 
--- a/tests/node/scenario.cpp
+++ b/tests/node/scenario.cpp
@@ -17,6 +17,7 @@
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <sstream>
+#include <utility>
 
 namespace keelflow::test {
 namespace {
@@ -67,7 +68,7 @@
 
 }  // namespace
 
-Scenario::Scenario(const Options& options) {
+Scenario::Scenario(const Options& options) : options_(options) {
   char name[] = "/tmp/keelflow-test-XXXXXX";
   folder_ = mkdtemp(name);
   for (const char* place : {"disco", "disco2", "disco3", "box", "box2", "redis"}) {
@@ -104,6 +105,15 @@
     own += ")\n";
   }
   if (!own.empty()) std::ofstream(folder_ + "/deploy/keelflow.sexp") << own;
+  if (options.inherit) {
+    listening_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address = loopback(0);
+    if (bind(listening_, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0 || listen(listening_, 64) != 0) throw std::runtime_error("listen");
+  }
+  start(options);
+}
+
+void Scenario::start(const Options& options) {
   int ends[2];
   if (pipe2(ends, O_CLOEXEC) != 0) throw std::runtime_error("pipe");
   log_ = ends[0];
@@ -112,6 +122,12 @@
     dup2(ends[1], 2);
     rlimit limit{static_cast<rlim_t>(options.sockets), static_cast<rlim_t>(options.sockets)};
     setrlimit(RLIMIT_NOFILE, &limit);
+    if (listening_ >= 0) {
+      dup2(listening_, 5);
+      fcntl(5, F_SETFD, 0);
+      setenv("EDGE_LISTEN_FD", "5", 1);
+      setenv("TMPDIR", folder_.c_str(), 1);
+    }
     setenv("EDGE_CONFIG", (folder_ + "/config.json").c_str(), 1);
     if (chdir(folder_.c_str()) == 0) execl(KEELFLOW_PROGRAM, KEELFLOW_PROGRAM, nullptr);
     _exit(127);
@@ -137,10 +153,14 @@
     if (line.fd >= 0) close(line.fd);
   for (auto& [place, fd] : listeners_)
     if (fd >= 0) close(fd);
-  if (program_ > 0) {
-    kill(program_, SIGKILL);
-    waitpid(program_, nullptr, 0);
-  }
+  ancestors_.insert(ancestors_.end(), {program_, elder_});
+  for (pid_t program : ancestors_)
+    if (program > 0) {
+      kill(program, SIGKILL);
+      waitpid(program, nullptr, 0);
+    }
+  if (listening_ >= 0) close(listening_);
+  if (elder_log_ >= 0) close(elder_log_);
   if (testing::Test::HasFailure()) {  // the sanitizers' word is in the log
     char piece[65536];
     for (ssize_t got; (got = read(log_, piece, sizeof piece)) > 0;) log_text_.append(piece, static_cast<std::size_t>(got));
@@ -274,9 +294,9 @@
   return own.unread.substr(at, own.unread.find('\n', at) - at);
 }
 
-std::string Scenario::ask(const std::string& call) {
+std::string Scenario::ask(const std::string& call, bool elder) {
   int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in to = loopback(operator_port_);
+  sockaddr_in to = loopback(elder ? elder_port_ : operator_port_);
   if (connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof to) != 0) return close(fd), "none";
   Line own{fd, "", false};
   send(own, call + "\n");
@@ -389,9 +409,52 @@
       ASSERT_LT(Clock::now(), until) << name << " is " << have ;
       usleep(5000);
     }
-  } else if (verb == "ask") {
+  } else if (verb == "upgrade" || verb == "failed-upgrade") {
+    if (elder_log_ >= 0) close(elder_log_);
+    ancestors_.push_back(elder_);
+    elder_ = std::exchange(program_, -1), elder_log_ = std::exchange(log_, -1), elder_port_ = operator_port_;
+    log_text_.clear(), log_at_ = 0;
+    Options next = options_;
+    if (verb == "upgrade") return start(next);
+    auto config = nlohmann::json::parse(config_);
+    config["admin"] = "127.0.0.1:" + std::to_string(elder_port_);
+    std::ofstream(folder_ + "/config.json") << config.dump();
+    EXPECT_THROW(start(next), std::runtime_error);
+    waitpid(program_, nullptr, 0);
+    close(log_);
+    program_ = std::exchange(elder_, -1), log_ = std::exchange(elder_log_, -1), operator_port_ = elder_port_;
+    std::ofstream(folder_ + "/config.json") << config_;
+  } else if (verb == "elder" && name == "exit") {
+    int status = 0;
+    while (waitpid(elder_, &status, WNOHANG) == 0) {
+      ASSERT_LT(Clock::now(), until) << "still running";
+      usleep(5000);
+    }
+    elder_ = -1;
+    ASSERT_TRUE(WIFEXITED(status)) << "signal " << WTERMSIG(status);
+    ASSERT_EQ(WEXITSTATUS(status), 0);
+  } else if (verb == "elder") {
+    int number = name == "STOP" ? SIGSTOP : name == "CONT" ? SIGCONT : name == "TERM" ? SIGTERM : SIGKILL;
+    ASSERT_EQ(kill(elder_, number), 0);
+    int status = 0;
+    if (number == SIGSTOP) waitpid(elder_, &status, WUNTRACED);
+    if (number == SIGKILL) waitpid(std::exchange(elder_, -1), &status, 0);
+  } else if (verb == "stale") {
+    for (const auto& file : std::filesystem::directory_iterator(folder_)) {
+      if (!file.is_socket()) continue;
+      sockaddr_un path{};
+      path.sun_family = AF_UNIX;
+      file.path().string().copy(path.sun_path, sizeof path.sun_path - 1);
+      std::filesystem::remove(file.path());
+      int fd = socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0);
+      ASSERT_EQ(bind(fd, reinterpret_cast<sockaddr*>(&path), sizeof path), 0);
+      close(fd);
+      return;
+    }
+    FAIL() << "no socket";
+  } else if (verb == "ask" || verb == "elder-ask") {
     std::string call = name + " " + rest_of(in), want = call.substr(call.find(" => ") + 4);
-    std::string answer = ask(call.substr(0, call.find(" => ")));
+    std::string answer = ask(call.substr(0, call.find(" => ")), verb == "elder-ask");
     ASSERT_NE(answer.find(want), std::string::npos) << answer;
   } else if (verb == "figure") {
     std::string want, have;
--- a/tests/node/scenario.h
+++ b/tests/node/scenario.h
@@ -14,6 +14,11 @@
 //   wait COUNTER VALUE          wait until the counter has that value (or more, with VALUE+)
 //   report ID FROM SHARE ...    a box at its usual pace: a progress call-back, a second, the next, ...
 //   stop PLACE                  the stand-in no longer listens
+//   upgrade                     with `inherit`: one more process of the node; what follows speaks to its operators' address
+//   failed-upgrade              the same, and it ends at once, as its operators' address is taken
+//   elder SIGNAL | elder exit   a signal to the process before it (STOP, CONT, TERM, KILL); wait until it has ended, with 0
+//   elder-ask LINE => TEXT      a call on the elder's operators' address
+//   stale                       a socket that nobody listens on stands where the elder's would
 //   signal NAME                 TERM, HUP or USR1 to the program
 //   config PLACE | config TEXT  the configuration file is replaced: discovery is at that place; or the file is TEXT
 //   settings JSON               the same, with its settings changed so (RFC 7396); from then on this is the usual one
@@ -39,6 +44,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace keelflow::test {
 
@@ -51,6 +57,7 @@
   int sockets = 1024;           // the descriptor limit of the process too
   bool operators = false;       // the configuration has an `admin` address
   std::string admin;            // which, if not any that is free
+  bool inherit = false;         // the platform holds the listening socket
   bool store = false;           // the progress front uses the stand-in `redis`
 };
 
@@ -74,7 +81,8 @@
   bool receive(Line& from, Clock::time_point until);  // one piece; false when the time is up
   void send(Line& to, std::string text);
   std::string counter(const std::string& name);
-  std::string ask(const std::string& call);
+  std::string ask(const std::string& call, bool elder = false);
+  void start(const Options& options);
   std::string message(std::string text) const;
   void list(const std::string& words);
   void command(int code, const std::string& arguments);
@@ -82,8 +90,11 @@
   std::string of_plugin(const std::string& name, const std::string& key);
   bool read_log(Clock::time_point until);  // one piece
 
+  Options options_;
   std::string folder_, config_;
-  pid_t program_ = -1;
+  pid_t program_ = -1, elder_ = -1;
+  std::vector<pid_t> ancestors_;  // before the elder
+  int listening_ = -1, elder_log_ = -1, elder_port_ = 0;
   int log_ = -1;
   std::string log_text_;
   std::size_t log_at_ = 0;  // what `log` has not yet seen
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -204,6 +204,107 @@
   EXPECT_GT(most_sent_to_cold(3, 60, true), 0.0);  // the newcomer is used at all
 }
 
+// Two processes of one node, each with a flood of work, and all workers cold. The younger begins half a window later, with
+// what the elder knows if they talk.
+double most_sent_by_twins(bool both, bool talk) {
+  Settings s = basic_settings();
+  Bench elder(s, 3), younger(s, 4);
+  Sends sent;
+  const Time born = 5000;
+  WorkerList list;
+  for (WorkerId i = 0; i < 4; ++i) list.entries.push_back({i, 0, 0, 0, WorkerState::ready, 1, born});
+  elder.now = younger.now = born;
+  elder.play(list), younger.play(list);
+  RequestId id = 0;
+  auto turn = [&](Bench& b, Bench& other, Time t) {
+    b.advance(t);
+    b.arrive(++id, 60);
+    for (const Send& x : std::exchange(b.sends, {})) {
+      sent[x.worker].emplace_back(b.now, 60);
+      b.play(Started{x.request, 0});
+      b.outcome(x.request, 0, Result::ok, true);
+    }
+    for (const Tell& x : std::exchange(b.tells, {})) other.now = b.now, other.play(PeerMessage{x.peer, x.bytes});
+  };
+  const Time joins = born + s.fall_ms / 2;
+  for (Time t = born; t < joins; t += 10) turn(elder, younger, t);
+  younger.advance(joins);
+  if (talk) younger.play(elder.d.knowledge(joins)), younger.play(Twin{true}), elder.play(Twin{true});
+  for (Time t = joins; t < born + s.cold_ms; t += 10) turn(elder, younger, t), turn(both ? younger : elder, elder, t);
+  return fullest_window(s, sent, [&](Time t) { return s.cold_from + (1 - s.cold_from) * (t - born) / s.cold_ms; });
+}
+
+TEST(Rule4, TwoProcessesOfOneNodeHaveOneBudget) {
+  double alone = most_sent_by_twins(false, false);
+  EXPECT_LT(alone, 1.0);
+  EXPECT_LT(most_sent_by_twins(true, true), 1.1 * alone);
+  EXPECT_GT(most_sent_by_twins(true, false), 1.4 * alone);  // so the test would notice
+}
+
+TEST(Twin, KnowsWhatTheOtherLearnedAndWhereItsSlotsAre) {
+  Settings s = basic_settings();
+  Bench elder(s), younger(s);
+  elder.workers(2);
+  for (RequestId id = 1; id <= 40; ++id) {
+    elder.arrive(id, 100);
+    elder.play(Started{id, 0});
+    elder.now += 300;
+    elder.outcome(id, 0, Result::ok, true);
+  }
+  elder.arrive(41, 100);
+  WorkerId busy = elder.sends.back().worker;
+  younger.now = elder.now;
+  younger.workers(2);
+  EXPECT_EQ(younger.d.calibration(0), 1);
+  younger.play(elder.d.knowledge(elder.now));
+  EXPECT_EQ(younger.d.calibration(0), elder.d.calibration(0));
+  EXPECT_GT(younger.d.calibration(0), 2.5);
+  younger.arrive(1, 100);
+  ASSERT_EQ(younger.sends.size(), 1u);
+  EXPECT_NE(younger.sends[0].worker, busy);
+}
+
+TEST(Retune, KeepsWhatWasLearnedAndTheClassOfJobsUnderWay) {
+  Settings s = basic_settings();
+  Bench b(s);
+  b.workers(2);
+  for (RequestId id = 1; id <= 40; ++id) {
+    b.arrive(id, 100);
+    b.play(Started{id, 0});
+    b.now += 300;
+    b.outcome(id, 0, Result::ok, true);
+  }
+  double learned = b.d.calibration(0);
+  b.arrive(50, 100);
+  Settings stricter = s;
+  stricter.classes.push_back(s.classes[0]);
+  stricter.classes[1].effect = Effect::unsafe;
+  b.play(Retune{stricter, {0, 0}});
+  EXPECT_EQ(b.d.calibration(1), learned);
+  b.arrive(51, 100, 1);
+  std::size_t before = b.sends.size();
+  b.outcome(50, 0, Result::reset, false);  // came as safe work, and is repeated
+  EXPECT_EQ(b.sends.size(), before + 1);
+  b.outcome(51, 0, Result::reset, false);  // came as unsafe work
+  EXPECT_EQ(b.sends.size(), before + 1);
+  ASSERT_EQ(b.answers.size(), 1u);
+  EXPECT_TRUE(std::holds_alternative<Fail>(b.answers[0]));
+}
+
+TEST(Retune, AHeldJobThatHasUsedUpAStricterLimitEndsAtOnce) {
+  Settings s = basic_settings();
+  Bench b(s);
+  b.workers(1);
+  b.arrive(1, 100);
+  b.outcome(1, 0, Result::connect_failed, false);  // the only worker is left alone now
+  ASSERT_TRUE(b.answers.empty());
+  ASSERT_EQ(b.d.held(), 1u);
+  s.try_limit = 1;
+  b.play(Retune{s, {0}});
+  EXPECT_EQ(b.answers.size(), 1u);
+  EXPECT_EQ(b.d.held(), 0u);
+}
+
 // A fleet of 100 dispatchers with three jobs a second each, and 60 workers with two cores and a queue in order, 36 of
 // them started at the same time. One job in ten is eight times the others. Messages take 2 to 21 ms.
 struct LargeFleet {
