A cold executor that nothing was sent to yet is tried before its pace counts

It had been restarted while out; what a cold one may be slowed by multiplies the cost of its slots by up to 1 / cold_from, so that idle warm ones always win (keep_best). Ruled out: the budget of rule 4, which lets two nodes use it at that age, and the call itself, answered in time.

Change: its first job here is not held back by its pace; it must still be in time by the most careful reading (usable).

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -302,7 +302,7 @@
     unhold(r);
     if (cold(w)) w.cold_sent.add(now, cold_work(r));
     w.load += r.load;
-    ++w.out;
+    ++w.out, w.used = true;
     index(w);
     tell(w, Sign::sent, 1, cold_work(r));
     r.attempts.push_back({w.entry.worker, w.entry.zone, w.entry.cell, now});
@@ -325,10 +325,10 @@
   }
 
   // Exception: a worker that runs jobs slower than their corrected hints counts its slots so much dearer. Not
-  // for jobs with keys, whose run times tell of fetches as much as of the worker.
+  // for jobs with keys (run times tell of fetches too), nor for a cold one's first: it has to be tried.
   void keep_best(const Request& r, Worker*& best, Worker* w) const {
     auto cost = [&](const Worker& x) {
-      return r.job.key ? slots(x) : (slots(x) + 1) * std::max(1.0, pace(x));
+      return r.job.key || (cold(x) && !x.used) ? slots(x) : (slots(x) + 1) * std::max(1.0, pace(x));
     };
     if (!best || cost(*w) < cost(*best)) best = w;
   }
--- a/src/state.h
+++ b/src/state.h
@@ -21,6 +21,7 @@
   double load = 0;         // own slots in flight
   int out = 0;             // own attempts out
   int started = 0;         // of these, in work
+  bool used = false;       // something was sent there in its present life
   int rank = 0;            // this dispatcher's place in the worker's own order of dispatchers
   std::vector<int> order;  // the others, in that order
   Told told;               // slots of those among them that are at home there
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -305,6 +305,26 @@
   EXPECT_EQ(b.d.held(), 0u);
 }
 
+// One that was restarted while it was out by hand comes back cold: however slow it must be believed to be, it is tried.
+// The next job goes there whenever it is sampled, which is in two of three cases among four workers.
+TEST(Cold, AWorkerCalledBackIsTriedBeforeItsPaceCounts) {
+  Settings s = basic_settings();
+  s.classes[0].stretch = 10;  // in time even there
+  int tried = 0;
+  for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+    Bench b(s, seed);
+    b.workers(4);
+    WorkerEntry back{103, 0, 0, 0, WorkerState::draining, 1, b.now - 1000};
+    b.play(WorkerList{ListScope::delta, {back}});
+    back.state = WorkerState::ready;
+    b.play(WorkerList{ListScope::delta, {back}});
+    b.arrive(1, 20);
+    ASSERT_EQ(b.sends.size(), 1u);
+    tried += b.sends[0].worker == 103;
+  }
+  EXPECT_GT(tried, 100);
+}
+
 // A fleet of 100 dispatchers with three jobs a second each, and 60 workers with two cores and a queue in order, 36 of
 // them started at the same time. One job in ten is eight times the others. Messages take 2 to 21 ms.
 struct LargeFleet {
