--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -313,6 +313,7 @@
   int tried = 0;
   for (std::uint64_t seed = 1; seed <= 200; ++seed) {
     Bench b(s, seed);
+    b.now = 5000;
     b.workers(4);
     WorkerEntry back{103, 0, 0, 0, WorkerState::draining, 1, b.now - 1000};
     b.play(WorkerList{ListScope::delta, {back}});
