Where lists are pushed the node keeps its watch open by itself

Cause: the module never asks where registry_mode is push (decide.cpp, ask_again returns), as the simulator then tells lists by itself; but on sockets DestinationSet::subscribe, called by nobody else, is what opens the watch on the agent. The node went by the list of its start until a SIGHUP moved discovery. Ruled out: the agent's silence (the node had no watch to hear it on).

Change: DestinationSet::pushed opens the watch at the start and again, with the back-off, whenever it breaks. Test: with lists pushed the scenario's start, which waits for the watch, hangs without it; a second watch after the first broke, and the drain told there holds.

--- a/node/discovery/destination_set.cpp
+++ b/node/discovery/destination_set.cpp
@@ -42,6 +42,11 @@
   retry_ = loop_.at(loop_.now() + back_off_, [this] { open(); });
 }
 
+void DestinationSet::pushed(bool on) {
+  pushed_ = on;
+  if (on) subscribe();
+}
+
 // At once, whatever state the watch is in: the old address takes no call any more, and waiting for its watch to
 // end would leave changes untold. A call of the module's that is pending is answered by the new watch.
 void DestinationSet::move(const net::Address& discovery) {
@@ -129,6 +134,7 @@
   failed.scope = reedlb::ListScope::failed;
   ++counters_.lists_received;
   listener_(std::move(failed));
+  if (pushed_) subscribe();
 }
 
 }  // namespace keelflow
--- a/node/discovery/destination_set.h
+++ b/node/discovery/destination_set.h
@@ -30,6 +30,8 @@
   // Opens a watch, or opens it anew where it broke. When to ask again after a failure is the module's choice;
   // this side only keeps a floor under it, so that a discovery that is down is not hammered.
   void subscribe() override;
+  // Lists are pushed: the module never asks, and the watch on the agent is this side's to keep open.
+  void pushed(bool on);
   // Another discovery serves from now on. The list and its version are kept, and the new one is asked for what
   // came after them.
   void move(const net::Address& discovery);
@@ -60,7 +62,7 @@
   std::unordered_map<WorkerId, Destination> destinations_;
   std::unique_ptr<ClientConnection> connection_;
   std::uint64_t version_ = 0;
-  bool has_list_ = false, accepted_ = false;
+  bool has_list_ = false, accepted_ = false, pushed_ = false;
   std::string buffer_;
   TimerId silence_ = 0, retry_ = 0;
   Duration back_off_{};
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -90,6 +90,7 @@
     server_.on_pressure = [this] { return pool_.free_one(); };
     destinations_.on_watching = [this] { watching(); };
     destinations_.known(config_.known);
+    destinations_.pushed(!config_.settings.ask_list);
     signals_.open();
     if (config_.admin) open_operators();
     front_.pass_news = [this](const std::string& body) { return !handover_ || handover_->pass_news(body); };
@@ -356,6 +357,7 @@
     pool_.keep(config_.idle_limit * 6 / 10);
     destinations_.names(config_.names);
     destinations_.move(config_.discovery);
+    destinations_.pushed(!config_.settings.ask_list);
   }
 
   // Nothing is turned away. At first all goes on as before; what comes later has only until the last answer. Then
--- a/tests/node/platform_test.cpp
+++ b/tests/node/platform_test.cpp
@@ -11,6 +11,23 @@
   if (!testing::Test::HasFailure()) scenario.play(text);
 }
 
+TEST(Platform, WhereListsArePushedTheWatchIsKeptOpenThoughTheModuleNeverAsks) {
+  Options options;
+  options.settings = R"({"registry_mode": "push"})";
+  play(R"(
+    close disco
+    accept disco disco
+    expect disco GET /discovery/hosts?follow=1&since=2 HTTP
+    send disco HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n
+    list box:draining
+    wait lists_received 4
+    open c
+    send c job A price 700
+    expect c HTTP/1.1 503
+    wait attempts_started 0
+  )", options);
+}
+
 TEST(Platform, AJobIsSentOnUnchangedAndItsResultIsTheAnswer) {
   play(R"(
     open c
