A class that comes back at SIGHUP no longer takes a number that a new one has got

Seen on rereading: free_place may give the number of a class that is gone to a new class, and a later class of the same file that has come back unchanged then took it as its own (Joining::classes, the test for 'same'). One of the two names was lost: its jobs were answered 404. Ruled out: numbers that jobs still have, which free_place never gives out.

Change: a number is a class's own again only if nobody has got it in this file. Beside it, a job's class is looked up by name for the figures only when it is refused at the door, not on each request (PlatformFront::take_plain).

Measured: Operation.AClassThatComesBackAndNewOnesBeforeItHaveNumbersOfTheirOwn answers 404 without the change and passes with it; the 21 operation and handover scenarios pass, without sanitizers.

--- a/node/config/retune.cpp
+++ b/node/config/retune.cpp
@@ -97,7 +97,7 @@
       if (names.class_of(name) >= 0) throw ConfigError("config: class '" + name + "' is there twice");
       int old = now_.names.class_of(name);
       if (old < 0) old = Names::place(now_.names.classes, name);  // it was here before
-      bool same = old >= 0 && now_.settings.classes[at(old)] == fresh_.settings.classes[i];
+      bool same = old >= 0 && names.former[at(old)] && now_.settings.classes[at(old)] == fresh_.settings.classes[i];
       int place = same ? old : free_place(in_use);
       settings[at(place)] = fresh_.settings.classes[i];
       names.classes[at(place)] = name;
--- a/node/inbound/platform_front.cpp
+++ b/node/inbound/platform_front.cpp
@@ -171,12 +171,12 @@
 }
 
 std::unique_ptr<Exchange> PlatformFront::take_plain(InboundConnection& connection, Job job) {
-  ClassFigures& figures = counters_.classes[config_.names.classes.at(static_cast<std::size_t>(job.cls))];
-  if (turned_away(connection)) return ++figures.rejected, nullptr;
+  auto figures = [this, cls = static_cast<std::size_t>(job.cls)]() -> ClassFigures& { return counters_.classes[config_.names.classes.at(cls)]; };
+  if (turned_away(connection)) return ++figures().rejected, nullptr;
   auto exchange = std::make_unique<PlainExchange>(engine_, connection);
   if (!exchange->take(std::move(job))) {
     ++counters_.requests_rejected;
-    ++figures.failed;
+    ++figures().failed;
     connection.respond(400, "a request with this X-Trace-Id is open\n");
     return nullptr;
   }
--- a/tests/node/operation_test.cpp
+++ b/tests/node/operation_test.cpp
@@ -66,6 +66,26 @@
   )");
 }
 
+TEST(Operation, AClassThatComesBackAndNewOnesBeforeItHaveNumbersOfTheirOwn) {
+  play(R"(
+    settings {"classes": [{"name": "price", "effect": "safe", "target_ms": 500.0}]}
+    signal HUP
+    figure config_reloads 1
+    settings {"classes": [{"name": "refund", "effect": "safe", "target_ms": 500.0}, {"name": "more", "effect": "safe", "target_ms": 500.0}, {"name": "sale", "effect": "unsafe", "target_ms": 500.0}]}
+    signal HUP
+    figure config_reloads 2
+    stop box
+    open c
+    send c job A refund 9000
+    expect c HTTP/1.1 503
+    send c job B sale 9000
+    expect c HTTP/1.1 503
+    send c job C more 9000
+    expect c HTTP/1.1 503
+    figure rejected.sale 1
+  )");
+}
+
 TEST(Operation, AJobKeepsTheEffectThatItCameWith) {
   play(R"(
     open c
