The lab gets a network: zones, regions, nodes that talk, and faults between processes

No test had two processes that talk: the lab gave its nodes no peers, put all in zone 0, and its links had no faults. Everything that is to be proved of many processes needs that first.

Every link (clients, boxes each way, discovery, datagrams between nodes) goes through a relay of lab/network: delay, jitter, loss, doubling, one-way cuts, splits, resets. A cut link is silent as a real one is: its listener's backlog is filled, so that handshakes are not answered. Nodes are stalled, killed and started again; machines vanish and return. Unknown places are told with file, line and column.

--- a/lab/boxes.h
+++ b/lab/boxes.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "inbound/server.h"
+#include "network.h"
 #include "outbound/client_connection.h"
 #include "plan.h"
 #include "rules.h"
@@ -39,6 +40,12 @@
   Duration progress{};                            // boxes report so often; zero: never
   std::unordered_map<std::string, double> saved;  // by key: work of cut off jobs that is done, in core milliseconds
   std::uint64_t reports = 0, resumed = 0;         // progress reports told, jobs that went on from a saved state
+  // Where the network is not loopback alone: its places, by node; and what became of attempts there.
+  Network* network = nullptr;
+  std::vector<Network::Place> node_places{};
+  std::vector<std::string> node_zones{}, node_regions{};
+  std::uint64_t attempts = 0, cross_zone = 0, cross_region = 0, fallen = 0;
+  double cold_fullest = 0;  // work sent to a cold box within the window, over what makes it fall over: the most
 };
 
 class Box {
@@ -50,7 +57,12 @@
 
   const std::string& host() const { return host_; }
   const std::string& group() const { return plan_.site; }
-  net::Address dial(std::size_t node) const { return dials_[node]; }
+  net::Address dial(std::size_t node) const { return network_ ? ways_[node].there : dials_[node]; }
+  // Its place in the network; every node reaches it, and is reached, through that from here on. Of nodes the addresses.
+  void stand_in(Network& network, Network::Place place, const std::string& region, const std::vector<net::Address>& nodes);
+  Network::Place place() const { return place_; }
+  // That node cannot hear it: an attempt there is over for the node once it gives it up, whatever the box does.
+  void unheard(std::size_t node);
   Health health() const { return health_; }
   bool up() const { return up_; }
   double born_unix_ms() const { return born_unix_ms_; }
@@ -71,6 +83,7 @@
     TimerId timer = 0, report = 0;
     TimePoint began{};
     double before_ms = 0, speed = 1;  // work saved before this run, in core milliseconds
+    bool unheard = false;
   };
   class Port;    // where one node reaches this box
   class Caller;  // its call-backs to one node
@@ -84,12 +97,22 @@
   void save(const Job& job);
   void end(const std::string& id);
   void forget(const std::string& id);
+  void over(const Job& job);
+  bool cut_off(std::size_t node) const;
+  void count(std::size_t node);
   double speed() const;
 
   World& world_;
   BoxPlan plan_;
   std::string host_;
   std::vector<net::Address> dials_;
+  struct Way {
+    net::Address there, back;  // where the node dials, where the box calls back
+  };
+  std::vector<Way> ways_;
+  Network* network_ = nullptr;
+  Network::Place place_ = 0;
+  std::string region_;
   std::vector<std::unique_ptr<Port>> ports_;
   std::vector<std::unique_ptr<Caller>> callers_;
   Health health_ = Health::ready;
--- a/lab/crowd.h
+++ b/lab/crowd.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <boost/histogram.hpp>
+#include <map>
 #include <memory>
 #include <pcg_random.hpp>
 #include <unordered_map>
@@ -25,10 +26,17 @@
 
   void begin();
   void load(double factor, const std::string& cls);  // of one class, or of all where it is empty
+  void zone_load(const std::string& zone, double factor);
   void stop();  // nothing new; what is asked goes on
   bool waiting() const { return !calls_.empty() || retries_ > 0; }
   // A node that is being ended: its front brings nothing new.
   void leave(std::size_t node) { left_.at(node) = true; }
+  void join(std::size_t node) { left_.at(node) = false; }
+  // From now on, until the `until` that is set later, the node cannot answer: what it owes then is lost with it, which
+  // is no rule broken. Counted.
+  void faulty(std::size_t node) { faults_[node].push_back({world_.loop.now(), TimePoint::max()}); }
+  void faulty_until(std::size_t node, TimePoint until) { faults_[node].back().second = until; }
+  std::uint64_t lost_with_node() const { return lost_with_node_; }
 
   const std::vector<ClassFigures>& figures() const { return figures_; }
   double latency(double share) const;  // of served jobs, first try to answer, milliseconds
@@ -51,6 +59,8 @@
   void ask(Job job);
   void over(Call& call, int status, const std::string& body, Duration retry_after);
   void retire(Call& call);
+  std::size_t choose_node();
+  bool faulty(std::size_t node, TimePoint from, TimePoint to) const;
 
   World& world_;
   const Plan& plan_;
@@ -58,6 +68,9 @@
   Pool pool_;
   std::vector<ClassFigures> figures_;
   std::vector<bool> left_;
+  std::vector<double> zone_loads_;  // as of now
+  std::map<std::size_t, std::vector<std::pair<TimePoint, TimePoint>>> faults_;  // by node, from when until when
+  std::uint64_t lost_with_node_ = 0;
   std::vector<std::pair<double, double>> seconds_;
   Histogram latencies_;
   std::unordered_map<Call*, std::unique_ptr<Call>> calls_;
--- a/lab/plan.h
+++ b/lab/plan.h
@@ -28,9 +28,14 @@
   bool cold = false;  // they start with the experiment
 };
 
+struct ZonePlan {
+  std::string name, region = "home";
+  double nodes = 1, load = 1;  // load: its part of the clients, beside the other zones'
+};
+
 struct Change {  // something that happens at a moment
   Duration at{};
-  std::string verb;                 // load, slow, crash, revive, drain, ready, command, settings, terminate
+  std::string verb;                 // plan.cpp has them all
   std::vector<config::Node> words;  // what follows the verb
 };
 
@@ -45,6 +50,9 @@
   Duration lasts = std::chrono::seconds(15), progress = std::chrono::seconds(1);
   double cold_from = 0.14;
   Duration cold = std::chrono::seconds(20);
+  bool peers = false;   // nodes may send one another datagrams
+  bool relays = false;  // links go through the lab's network; always so with zones, peers, or a fault of links
+  std::vector<ZonePlan> zones;  // in whose order the nodes are numbered; none: nodes know no zones
   std::vector<ClassPlan> classes;
   std::vector<BoxPlan> boxes;
   std::vector<Change> changes;
--- a/node/net/connection.cpp
+++ b/node/net/connection.cpp
@@ -60,6 +60,12 @@
   ::close(std::exchange(fd_, -1));
 }
 
+void Connection::reset() {
+  linger none{.l_onoff = 1, .l_linger = 0};
+  if (fd_ >= 0) setsockopt(fd_, SOL_SOCKET, SO_LINGER, &none, sizeof none);
+  close();
+}
+
 void Connection::fail(int error) {
   if (fd_ < 0) return;
   close();
--- a/node/net/connection.h
+++ b/node/net/connection.h
@@ -30,6 +30,7 @@
   bool connect(const Address& to);   // false: no descriptor or refused at once (errno)
   void write(std::string_view bytes);
   void close();                      // no callback comes after this
+  void reset();                      // as close, and the peer sees it broken
   // Sends what is queued, then the end; on_closed comes when the peer has closed too, or has gone on sending for
   // long. What it sends is dropped.
   void close_when_flushed() { close_when_flushed_ = true; flush(); }
--- a/tests/lab/plan_test.cpp
+++ b/tests/lab/plan_test.cpp
@@ -30,5 +30,33 @@
     EXPECT_THROW(read_plan(text, "f", {}), ConfigError) << text;
 }
 
+const std::string kPlaces = R"((experiment e (class a) (zone east (region north) (nodes 2) (load 0.4)) (zone west (nodes 1))
+  (boxes b (site east)) (boxes c (site west)) (at 1s CHANGE)))";
+
+std::string with_change(const std::string& change) {
+  std::string text = kPlaces;
+  return text.replace(text.find("CHANGE"), 6, change);
+}
+
+TEST(Plan, ZonesHoldTheNodesAndFaultsNamePlaces) {
+  Plan plan = read_plan(with_change("(split east all) (loss n0 n2 0.3) (delay north boxes:b 5ms 2ms) (stall n1 3s) (heal all) (load 2 zone west)"), "f", {});
+  EXPECT_EQ(plan.nodes, 3);
+  EXPECT_TRUE(plan.relays);
+  EXPECT_EQ(plan.zones[0].region, "north");
+  EXPECT_EQ(plan.changes.size(), 6u);
+}
+
+TEST(Plan, AnUnknownPlaceIsToldWithFileLineAndColumn) {
+  for (const char* change : {"(cut n3 all)", "(cut south all)", "(cut n0)", "(split boxes:x all)", "(loss n0 n1 1.5)", "(delay n0 n1 soon)",
+                             "(stall east 1s)", "(kill)", "(vanish d)", "(heal east)", "(load 2 zone south)", "(load 2 a b)"})
+    try {
+      read_plan(with_change(change), "f", {});
+      ADD_FAILURE() << change;
+    } catch (const ConfigError& fault) {
+      EXPECT_TRUE(std::string(fault.what()).starts_with("f:2:")) << fault.what();
+    }
+  EXPECT_THROW(read_plan("(experiment e (class a) (zone east (nodes 1)) (boxes b (site west)))", "f", {}), ConfigError);
+}
+
 }  // namespace
 }  // namespace keelflow::lab
