--- a/logic/fleet/subsets.cpp
+++ b/logic/fleet/subsets.cpp
@@ -13,7 +13,7 @@
 constexpr int kFree = 2;           // of its homes a dispatcher has wherever its best pairs fall
 // By how much an executor's dispatchers may lie under and over its part. Narrower bounds move more at each change, and
 // bounds on whole or half numbers, where parts often lie, would all jump with one dispatcher more or less.
-constexpr double kUnder = 1.25, kOver = 1.75;
+constexpr double kUnder = 1.25, kOver = 1.75, kFew = 4;
 constexpr double kLooked = 5;      // times as many pairs are looked at as are taken, the best ones
 
 std::uint64_t mix(std::uint64_t x) {  // splitmix64
@@ -63,9 +63,11 @@
       homes[p.worker].push_back(dispatchers[p.dispatcher]);
     }
   };
-  pass(std::min(kFree, each), part + kOver);
-  pass(each, std::max(1.0, part - kUnder));
-  pass(each, part + kOver);
+  // Of a few, one more or less is much.
+  double under = part < kFew ? kUnder - 1 : kUnder, over = part < kFew ? kOver - 1 : kOver;
+  pass(std::min(kFree, each), part + over);
+  pass(each, std::max(1.0, part - under));
+  pass(each, part + over);
   pass(each, static_cast<double>(dispatchers.size()));
   for (auto& of : homes) std::sort(of.begin(), of.end());
   return homes;
