--- a/lab/views.h
+++ b/lab/views.h
@@ -14,17 +14,10 @@
     std::vector<bool> well;                // by node: it runs, and is not stopped
     std::vector<std::vector<bool>> hears;  // by node, whom it hears
   };
-  struct Change {  // in a node's log
-    double unix_ms = 0;
-    int by = 0, member = 0;
-    bool dead = false, by_itself = false;  // it said that it ends
-  };
 
   void now(Truth truth) { truths_.push_back(std::move(truth)); }
   void end(double unix_ms) { end_ = unix_ms; }
   void read(int node, const std::string& log);  // whole, of all of its lives
-  void add(const Change& change) { changes_.push_back(change); }
-  bool any() const { return !changes_.empty(); }
 
   // The longest time, over all changes of what is true, until those who hear each other hold the same members, and those
   // who run hold those for dead that do not; s. A change that is followed by the next sooner counts with the time it had.
@@ -33,6 +26,11 @@
   int false_deaths() const;
 
  private:
+  struct Change {  // in a node's log
+    double unix_ms = 0;
+    int by = 0, member = 0;
+    bool dead = false, by_itself = false;  // it said that it ends
+  };
   bool agreed(const Truth& truth, const std::vector<std::vector<bool>>& dead) const;
 
   std::vector<Truth> truths_;
--- a/logic/fleet/membership.cpp
+++ b/logic/fleet/membership.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <utility>
 
+#include "fleet/mix.h"
+
 namespace keelflow::fleet {
 namespace {
 
@@ -23,13 +25,6 @@
 constexpr double kBudget = 24, kBudgetRate = 0.04;  // news passed on at once: most saved up, and a ms
 constexpr Time kAlone = 3;            // periods without a word from anyone
 
-std::uint64_t mix(std::uint64_t x) {  // splitmix64
-  x += 0x9e3779b97f4a7c15ull;
-  x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ull;
-  x = (x ^ (x >> 27)) * 0x94d049bb133111ebull;
-  return x ^ (x >> 31);
-}
-
 std::uint32_t mark_of(int m, const Membership::Member& of) {
   if (of.life == Life::unknown) return 0;
   return static_cast<std::uint32_t>(mix(static_cast<std::uint64_t>(m) << 33 | std::uint64_t{of.life == Life::dead} << 32 | of.incarnation));
--- a/logic/fleet/subsets.cpp
+++ b/logic/fleet/subsets.cpp
@@ -5,6 +5,8 @@
 #include <cstdint>
 #include <tuple>
 
+#include "fleet/mix.h"
+
 namespace keelflow::fleet {
 namespace {
 
@@ -16,13 +18,6 @@
 constexpr double kUnder = 1.25, kOver = 1.75, kFew = 4;
 constexpr double kLooked = 5;      // times as many pairs are looked at as are taken, the best ones
 
-std::uint64_t mix(std::uint64_t x) {  // splitmix64
-  x += 0x9e3779b97f4a7c15ull;
-  x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ull;
-  x = (x ^ (x >> 27)) * 0x94d049bb133111ebull;
-  return x ^ (x >> 31);
-}
-
 struct Pair {
   std::uint64_t score;
   std::uint32_t dispatcher, worker;  // places in the lists
@@ -30,7 +25,7 @@
   auto operator<=>(const Pair& o) const { return std::tie(score, dispatcher, worker) <=> std::tie(o.score, o.dispatcher, o.worker); }
 };
 
-// The best pairs, in order. All pairs would give nearly the same result at ten times the cost.
+// The best pairs, in order: they are enough, and sorting all would cost most of the time.
 std::vector<Pair> best_pairs(const std::vector<reedlb::WorkerId>& workers, const std::vector<int>& dispatchers, int each) {
   double share = std::min(1.0, kLooked * (each + 2.0) / static_cast<double>(workers.size()));
   auto most = share >= 1 ? ~std::uint64_t{0} : static_cast<std::uint64_t>(share * 0x1p64);
