Turns: a cold executor's budget in fixed parts that nodes grant one another

Cause: cold_allowance (src/decide.cpp) granted what it had heard, not what was granted to it, and parts hung on each node's own mean run time, so they could add up to one and a half. With 90 of 100 nodes mute and twice the usual traffic the fullest window came to 0.98 of what makes an executor fall over.

Change: logic/fleet/turns. A job counts as nine tenths of its hint at least, whatever pace is believed. Engine, adapter and tests play the same object. (fleet (turns yes)) on as shipped, keelflow fleet turns.

--- a/adapter/instances.cpp
+++ b/adapter/instances.cpp
@@ -20,6 +20,7 @@
       try {
         table_[event.instance].dispatcher = std::make_unique<Dispatcher>(settings, spawn->salt);
         table_[event.instance].homes.emplace(settings);
+        table_[event.instance].turns.emplace(settings, header.now);
       } catch (const std::invalid_argument& fault) {
         throw SettingsError(fault.what());
       }
@@ -35,7 +36,10 @@
       actions.clear();
       try {
         it->second.dispatcher->handle(header.now, *input, actions);
-        if (auto homes = it->second.homes->after(*input)) it->second.dispatcher->handle(header.now, *homes, actions);
+        std::vector<Event> told;
+        if (auto homes = it->second.homes->after(*input)) told.push_back(std::move(*homes));
+        it->second.turns->after(header.now, *input, *it->second.dispatcher, told, actions);
+        for (const Event& one : told) it->second.dispatcher->handle(header.now, one, actions);
       } catch (const std::exception& fault) {
         address(event.instance);
         reply.give_in(fault.what());
--- a/adapter/instances.h
+++ b/adapter/instances.h
@@ -8,6 +8,7 @@
 
 #include "codec.h"
 #include "fleet/subsets.h"
+#include "fleet/turns.h"
 
 namespace reedlb::wire {
 
@@ -21,6 +22,7 @@
   struct Instance {
     std::unique_ptr<Dispatcher> dispatcher;
     std::optional<keelflow::fleet::Homes> homes;
+    std::optional<keelflow::fleet::Turns> turns;
     std::map<int, bool> unknown_logged;
   };
   std::map<std::uint32_t, Instance> table_;
--- a/cli/main.cpp
+++ b/cli/main.cpp
@@ -176,6 +176,18 @@
   }
 }
 
+void print_turns(const json& fleet) {
+  const json& t = fleet["turns"];
+  auto count = [&](const char* name) { return t[name].get<unsigned long long>(); };
+  std::printf("grants are %s: asked %llu, got %llu, too late %llu; granted %llu, denied %llu, came back %llu\n", t["on"].get<bool>() ? "on" : "off",
+              count("asked"), count("got"), count("late"), count("granted"), count("denied"), count("came_back"));
+  std::printf("%-24s %4s %6s %6s %9s %9s %5s %9s\n", "cold executor", "pool", "age", "share", "left", "held", "of", "granted");
+  for (const json& one : t["executors"])
+    std::printf("%-24s %4d %5.0fs %6.3f %7.0fms %7.0fms %5s %7.0fms\n", one["executor"].get<std::string>().c_str(), one["pool"].get<int>(), one["age_s"].get<double>(),
+                one["share"].get<double>(), one["left_ms"].get<double>(), one["held_ms"].get<double>(),
+                one["held_of"].is_number() ? ("n" + std::to_string(one["held_of"].get<int>())).c_str() : "-", one["granted_ms"].get<double>());
+}
+
 int fleet_page(const Options& options, void (*show)(const json&)) {
   for (;;) {
     int code = ask(options, "GET", "/fleet", show);
@@ -247,7 +259,8 @@
   fleet->footer(std::string("Example: keelflow fleet members\n") + kExitCodes);
   fleet->require_subcommand(1);
   for (auto [name, what, show] : {std::tuple("members", "which nodes live, and who says so", &print_members),
-                                  std::tuple("homes", "which executors are home to this node, and who else is at home there", &print_homes)}) {
+                                  std::tuple("homes", "which executors are home to this node, and who else is at home there", &print_homes),
+                                  std::tuple("turns", "this node's parts of cold executors' budgets, and what it was granted and grants", &print_turns)}) {
     sub = command(*fleet, name, what, (std::string("keelflow fleet ") + name + " --watch").c_str(), [&options, page = show] { return fleet_page(options, page); });
     sub->add_flag("--watch", options.watch, "print again until interrupted");
     sub->add_option("--every", options.every, "seconds between")->check(CLI::Range(0.1, 3600.0))->capture_default_str();
--- a/include/reedlb/dispatcher.h
+++ b/include/reedlb/dispatcher.h
@@ -183,8 +183,7 @@
   std::vector<bool> lives;
 };
 // Who is at home at the workers that the Dispatcher knows: it prefers those that are home to it, and tells the others
-// there of them. While a worker is cold, those who may send to it count as at home there instead. Until the first one
-// comes that holds of warm workers too.
+// there of them where `talk`. While a worker is cold its Turns say so instead. Until the first one comes all are at home.
 struct Homes {
   struct At {
     WorkerId worker = 0;
@@ -192,9 +191,29 @@
     std::vector<int> others;  // ranks
   };
   std::vector<At> workers;
+  bool talk = false;
+};
+// Rule 4 holds of what all dispatchers send to a cold worker. Each has a part; until it is told of it, an even one.
+struct Turns {
+  struct At {
+    Homes::At home;  // while it is cold
+    Time born = 0;   // of another life it says nothing
+    double share = 0;  // of the budget
+  };
+  std::vector<At> workers;
+};
+// Work that may be sent to a cold worker until that time, of another dispatcher's part (ours: in place of what such a
+// grant had left); or that another one was granted of the own part, which counts as sent then (less than 0: it gave
+// that back).
+struct Grant {
+  WorkerId worker = 0;
+  Time born = 0;
+  double work = 0;  // ms
+  Time until = 0;
+  bool ours = false;
 };
 using Event = std::variant<WorkerList, Arrival, StreamBegun, Started, ClientGone, Timer, PeerMessage,
-                           ProbeResult, Outcome, Retune, Knowledge, Twin, Members, Homes>;
+                           ProbeResult, Outcome, Retune, Knowledge, Twin, Members, Homes, Turns, Grant>;
 
 // ---- actions ----
 
@@ -241,6 +260,14 @@
 
 void validate(const Settings& settings);  // throws std::invalid_argument on impossible settings
 
+// What a Dispatcher may send to a cold worker now, in ms of work.
+struct ColdRoom {
+  double own = 0;      // of its own part; below 0: more was sent than is thought right by now
+  double granted = 0;  // of others' parts
+  double usual = 0;    // a usual job's
+  double all() const { return own + granted; }
+};
+
 class Dispatcher {
  public:
   // Throws std::invalid_argument on impossible settings. Without `shares` it keeps tenants' shares by itself.
@@ -254,6 +281,7 @@
   double calibration(int cls) const;  // the factor B of a class, for monitoring
   std::size_t held() const;           // jobs waiting here, for monitoring
   Knowledge knowledge(Time now) const;
+  ColdRoom cold_room(WorkerId worker, Time now) const;
   bool avoids(WorkerId worker, Time now) const;  // it is ready and yet left alone, as it looks ill; for monitoring
 
  private:
--- a/logic/fleet/subsets.cpp
+++ b/logic/fleet/subsets.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr double kWanted = 4, kWantedWhereTold = 6;  // home executors for each dispatcher; where dispatchers talk of them
-constexpr int kTellingFleet = 16;  // dispatchers from which on they do, as src/decide.cpp has it
+constexpr int kTellingFleet = 16;  // dispatchers from which on they do
 constexpr int kFree = 2;           // of its homes a dispatcher has wherever its best pairs fall
 // By how much an executor's dispatchers may lie under and over its part. Narrower bounds move more at each change, and
 // bounds on whole or half numbers, where parts often lie, would all jump with one dispatcher more or less.
@@ -68,14 +68,21 @@
   return homes;
 }
 
+bool talks_of_homes(bool peers, int dispatchers) { return peers && dispatchers >= kTellingFleet; }
+double wanted_homes(bool peers, int dispatchers) { return talks_of_homes(peers, dispatchers) ? kWantedWhereTold : kWanted; }
+
+int homes_at_each(double wanted, int dispatchers, int workers) {
+  return workers == 0 ? 0 : static_cast<int>(std::min<double>(dispatchers, 1 + std::ceil(wanted * dispatchers / workers)));
+}
+
 int homes_for_each(double wanted, int dispatchers, int workers) {
   if (workers == 0) return 0;
-  double at_each = std::min<double>(dispatchers, 1 + std::ceil(wanted * dispatchers / workers));
-  return std::clamp(static_cast<int>(std::lround(at_each * workers / dispatchers)), 1, workers);
+  double all = static_cast<double>(homes_at_each(wanted, dispatchers, workers)) * workers;
+  return std::clamp(static_cast<int>(std::lround(all / dispatchers)), 1, workers);
 }
 
 Homes::Homes(const reedlb::Settings& s)
-    : dispatchers_(s.dispatchers), self_(s.rank), wanted_(s.peers && s.dispatchers >= kTellingFleet ? kWantedWhereTold : kWanted),
+    : dispatchers_(s.dispatchers), self_(s.rank), peers_(s.peers),
       lives_(static_cast<std::size_t>(std::max(1, s.dispatchers)), true) {}
 
 std::optional<reedlb::Homes> Homes::after(const reedlb::Event& event) {
@@ -85,8 +92,8 @@
     if (members->lives.size() != lives_.size() || members->lives == lives_) return std::nullopt;
     lives_ = members->lives;
   } else if (const auto* retune = std::get_if<reedlb::Retune>(&event)) {
-    if (retune->settings.dispatchers == dispatchers_) return std::nullopt;
-    dispatchers_ = retune->settings.dispatchers;
+    if (retune->settings.dispatchers == dispatchers_ && retune->settings.peers == peers_) return std::nullopt;
+    dispatchers_ = retune->settings.dispatchers, peers_ = retune->settings.peers;
     lives_.assign(static_cast<std::size_t>(dispatchers_), true);
   } else {
     return std::nullopt;
@@ -112,9 +119,10 @@
   for (int d = 0; d < dispatchers_; ++d)
     if (lives_[static_cast<std::size_t>(d)] || d == self_) living.push_back(d);
   // By the number of all: who is left keeps as many as before.
-  int each = homes_for_each(wanted_, dispatchers_, static_cast<int>(workers.size()));
+  int each = homes_for_each(wanted_homes(peers_, dispatchers_), dispatchers_, static_cast<int>(workers.size()));
   auto homes = subsets(workers, living, each);
   reedlb::Homes out;
+  out.talk = talks_of_homes(peers_, dispatchers_);
   for (std::size_t w = 0; w < workers.size(); ++w) {
     auto self = std::find(homes[w].begin(), homes[w].end(), self_);
     bool home = self != homes[w].end();
--- a/logic/fleet/subsets.h
+++ b/logic/fleet/subsets.h
@@ -20,6 +20,10 @@
 // each dispatcher.
 std::vector<std::vector<int>> subsets(const std::vector<reedlb::WorkerId>& workers, const std::vector<int>& dispatchers, int each);
 
+// Whether those at home at an executor tell one another of it: where nodes may talk and are too many to know it alone.
+bool talks_of_homes(bool peers, int dispatchers);
+double wanted_homes(bool peers, int dispatchers);  // home executors for each, if there are enough
+int homes_at_each(double wanted, int dispatchers, int workers);  // dispatchers at home at an executor
 // How many each has as home: so that an executor is home to one more than would give everyone `wanted`.
 int homes_for_each(double wanted, int dispatchers, int workers);
 
@@ -36,7 +40,7 @@
   reedlb::Homes divide() const;
 
   int dispatchers_, self_;
-  double wanted_;
+  bool peers_;
   std::vector<bool> lives_;  // by dispatcher
   std::set<reedlb::WorkerId> workers_;
   reedlb::Homes told_;
--- /dev/null
+++ b/logic/fleet/turns.h
@@ -0,0 +1,109 @@
+// Who may send how much to a cold executor (rule 4): granted, never inferred. Pure.
+//
+// Each life of an executor orders all nodes of the configuration by a hash that all share. The first few own fixed parts
+// of what all together may send it within a window; the parts add up to the whole whatever anyone believes or hears. An
+// owner may grant another node some of its own part for a while. It counts that as sent at the grant's end, which is
+// later by any clock that drifts less than kDrift than the end by which the other goes; what the other tells that it has
+// not used, and will not use, comes back. A lost word wastes a little of the budget and never exceeds it.
+//
+// A node that starts has no part in executors that started before it, until all that a former life of it may have sent or
+// granted is out of the window.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "reedlb/dispatcher.h"
+
+namespace keelflow::fleet {
+
+// What goes between nodes: 28 bytes, big-endian: mark fd, version, kind, 0; executor (4), its life (4), the asker's life
+// (4), number (4), work and least work in ms (4 each). Of another version, size or kind it is none.
+struct TurnWord {
+  enum class Kind : std::uint8_t { ask, grant, back } kind = Kind::ask;
+  reedlb::WorkerId worker = 0;
+  std::uint32_t life = 0;   // of the executor
+  std::uint32_t asker = 0;  // life of the node that asked
+  std::uint32_t number = 0;
+  std::uint32_t work = 0, least = 0;  // ms: wanted and the least that is of use, granted, or given back
+};
+std::string write_turn(const TurnWord& word);
+std::optional<TurnWord> read_turn(std::string_view bytes);
+
+// The order of all nodes at one life of an executor.
+std::vector<int> order_at(const reedlb::WorkerEntry& worker, int dispatchers);
+// The part of the one at that place: all add up to 1.
+double share_at(int place, int dispatchers);
+
+constexpr double kDrift = 0.1;  // clocks may run apart by so much
+
+// Beside one Dispatcher: tells it its parts and its grants, and asks and grants for it.
+class Turns {
+ public:
+  struct Figures {
+    std::uint64_t asked = 0, got = 0, granted = 0, denied = 0, came_back = 0, late = 0;
+    Figures& operator+=(const Figures& o);
+  };
+  struct Turn {  // at one cold executor
+    reedlb::WorkerEntry entry;
+    std::vector<int> order;
+    int place = 0;  // of this node
+    bool own = false;
+    double told_share = -1;
+    std::uint32_t number = 0;  // of what was asked last, at `owner`
+    int owner = -1;
+    reedlb::Time asked = -1e18, until = 0;  // until: of the grant held
+    bool waiting = false;
+    struct Given {
+      std::uint32_t asker = 0, number = 0;  // the last one granted; numbers of an asker's life only rise
+      double work = 0;
+      reedlb::Time until = 0;
+      bool back = true;
+    };
+    std::map<int, Given> given;  // by node: one at a time
+  };
+
+  // `started`: when this node did, on the Dispatcher's clock.
+  Turns(const reedlb::Settings& settings, reedlb::Time started);
+  // For each event that the Dispatcher was given, right after it. `told`: what it is to be told then.
+  void after(reedlb::Time now, const reedlb::Event& event, const reedlb::Dispatcher& dispatcher, std::vector<reedlb::Event>& told, reedlb::Actions& out);
+
+  void grants(bool on) { grants_ = on; }  // off: it asks for nothing and grants nothing from now on
+
+  const std::map<reedlb::WorkerId, Turn>& turns() const { return turns_; }
+  const Figures& figures() const { return figures_; }
+  double length() const { return length_; }  // of a grant, ms
+
+ private:
+  bool take(const reedlb::WorkerList& list);
+  void begin(const reedlb::WorkerEntry& entry);
+  void order();
+  double share(const Turn& turn) const;
+  bool waits(const Turn& turn) const;
+  void tell_shares(std::vector<reedlb::Event>& told);
+  void age(const reedlb::Dispatcher& dispatcher, std::vector<reedlb::Event>& told, reedlb::Actions& out);
+  void hear(const reedlb::PeerMessage& message, const reedlb::Dispatcher& dispatcher, std::vector<reedlb::Event>& told, reedlb::Actions& out);
+  void grant(int asker, const TurnWord& word, Turn& turn, const reedlb::Dispatcher& dispatcher, std::vector<reedlb::Event>& told, reedlb::Actions& out);
+  void ask(Turn& turn, const reedlb::ColdRoom& room, reedlb::Actions& out);
+  void ask_all(const reedlb::Dispatcher& dispatcher, std::vector<reedlb::Event>& told, reedlb::Actions& out);
+  void give_back(Turn& turn, double left, std::vector<reedlb::Event>& told, reedlb::Actions& out);
+  int next_owner(const Turn& turn) const;
+  bool grants() const { return grants_ && peers_ && dispatchers_ > 1 && !twin_; }
+
+  int dispatchers_, self_;
+  bool peers_, twin_ = false, grants_ = true;
+  reedlb::Time now_ = 0, started_, next_ = 0;
+  double cold_ms_, window_, length_;
+  std::uint32_t life_, number_ = 0;
+  std::map<reedlb::WorkerId, reedlb::WorkerEntry> workers_;
+  std::map<reedlb::WorkerId, Turn> turns_;
+  std::vector<bool> lives_;
+  std::vector<reedlb::Time> silent_;  // by node: it did not answer; it is asked last until then
+  Figures figures_;
+};
+
+}  // namespace keelflow::fleet
--- a/node/config/own_config.cpp
+++ b/node/config/own_config.cpp
@@ -177,6 +177,7 @@
     Form form(node, 0, file_, faults_);
     Members::Settings& m = own_.members;
     form.flag("members", m.on);
+    form.flag("turns", own_.turns);
     form.span("period", m.period, 50ms, 10s);
     form.span("least-suspicion", m.least_suspicion, 50ms, 1min);
     form.span("most-suspicion", m.most_suspicion, 50ms, 1min);
--- a/node/core/engine.cpp
+++ b/node/core/engine.cpp
@@ -37,7 +37,9 @@
 
 void Engine::lanes(int count) {
   while (lanes_.size() < static_cast<std::size_t>(count)) {  // the first one draws what a node without pools draws
-    lanes_.push_back(std::make_unique<Lane>(settings_, seed_ + lanes_.size() * 0x9e3779b97f4a7c15ull, shares_));
+    lanes_.push_back(std::make_unique<Lane>(settings_, seed_ + lanes_.size() * 0x9e3779b97f4a7c15ull, shares_,
+                                            clock_.unix_ms(timers_.now())));
+    lanes_.back()->turns.grants(grants_);
     if (!lives_.empty()) post(static_cast<int>(lanes_.size()) - 1, reedlb::Members{lives_});
   }
 }
@@ -95,13 +97,24 @@
     actions.clear();
     lanes_.at(static_cast<std::size_t>(lane))->dispatcher.handle(clock_.unix_ms(timers_.now()), next, actions);
     for (const reedlb::Action& action : actions) carry_out(lane, action);
-    if (auto homes = lanes_.at(static_cast<std::size_t>(lane))->homes.after(next)) inbox_.emplace_front(lane, std::move(*homes));
+    after(lane, next);
     if (const auto* outcome = std::get_if<reedlb::Outcome>(&next)) forget_if_over(outcome->request);
     if (const auto* gone = std::get_if<reedlb::ClientGone>(&next)) forget_if_over(gone->request);
   }
   pumping_ = false;
 }
 
+// What stands beside the module and tells it values: those come before whatever else waits.
+void Engine::after(int lane, const reedlb::Event& event) {
+  Lane& of = *lanes_.at(static_cast<std::size_t>(lane));
+  std::vector<reedlb::Event> told;
+  reedlb::Actions words;
+  if (auto homes = of.homes.after(event)) told.emplace_back(std::move(*homes));
+  of.turns.after(clock_.unix_ms(timers_.now()), event, of.dispatcher, told, words);
+  for (const reedlb::Action& word : words) carry_out(lane, word);
+  for (auto it = told.rbegin(); it != told.rend(); ++it) inbox_.emplace_front(lane, std::move(*it));
+}
+
 void Engine::carry_out(int pool, const reedlb::Action& action) {
   if (const auto* a = std::get_if<reedlb::Send>(&action)) return send(*a);
   if (const auto* a = std::get_if<reedlb::Recall>(&action)) return recall({a->request, a->attempt}, false);
@@ -353,6 +366,24 @@
     for (const auto& at : lanes_[i]->homes.told().workers) look(static_cast<int>(i), at);
 }
 
+void Engine::each_turn(const std::function<void(int pool, const fleet::Turns::Turn&, const reedlb::ColdRoom&)>& look) const {
+  double now = clock_.unix_ms(timers_.now());
+  for (std::size_t i = 0; i < lanes_.size(); ++i)
+    for (const auto& [worker, turn] : lanes_[i]->turns.turns())
+      look(static_cast<int>(i), turn, lanes_[i]->dispatcher.cold_room(worker, now));
+}
+
+fleet::Turns::Figures Engine::turn_figures() const {
+  fleet::Turns::Figures all;
+  for (const auto& lane : lanes_) all += lane->turns.figures();
+  return all;
+}
+
+void Engine::grants(bool on) {
+  grants_ = on;
+  for (const auto& lane : lanes_) lane->turns.grants(on);
+}
+
 void Engine::destinations(reedlb::WorkerList list, int pool) {
   post(pool, std::move(list));
 }
--- a/node/core/engine.h
+++ b/node/core/engine.h
@@ -10,6 +10,7 @@
 #include "core/counters.h"
 #include "core/ports.h"
 #include "fleet/subsets.h"
+#include "fleet/turns.h"
 
 namespace keelflow {
 
@@ -58,6 +59,9 @@
   void members(const std::vector<bool>& lives);
 
   void each_home(const std::function<void(int pool, const reedlb::Homes::At&)>& look) const;
+  void each_turn(const std::function<void(int pool, const fleet::Turns::Turn&, const reedlb::ColdRoom&)>& look) const;
+  fleet::Turns::Figures turn_figures() const;  // of all lanes
+  void grants(bool on);                        // whether nodes grant one another of their parts; else each keeps its own
 
   // From another node of the tier: to every lane, as each knows its own endpoints only.
   void told(int peer, const std::string& bytes);
@@ -90,14 +94,16 @@
   };
 
   struct Lane {
-    Lane(const reedlb::Settings& settings, std::uint64_t seed, std::shared_ptr<reedlb::TenantShares> shares)
-        : dispatcher(settings, seed, std::move(shares)), homes(settings) {}
+    Lane(const reedlb::Settings& settings, std::uint64_t seed, std::shared_ptr<reedlb::TenantShares> shares, double started)
+        : dispatcher(settings, seed, std::move(shares)), homes(settings), turns(settings, started) {}
     reedlb::Dispatcher dispatcher;
     fleet::Homes homes;
+    fleet::Turns turns;
     TimePoint last_bell{};
   };
 
   void post(int pool, reedlb::Event event);
+  void after(int lane, const reedlb::Event& event);
   void ring(int pool, std::uint64_t name);
   void carry_out(int pool, const reedlb::Action& action);
   reedlb::Arrival arrival_of(RequestId id, const Request& request) const;
@@ -129,7 +135,7 @@
   std::unordered_map<RequestId, Request> requests_;
   std::unordered_map<std::string, RequestId> by_name_;  // of all in requests_
   std::deque<std::pair<int, reedlb::Event>> inbox_;
-  bool pumping_ = false;
+  bool pumping_ = false, grants_ = true;
   TimePoint last_answer_ = TimePoint::max();
   RequestId next_id_ = 1;
   std::size_t attempts_out_ = 0, pending_ = 0;
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -100,6 +100,7 @@
     front_.pass_news = [this](const std::string& body) { return !handover_ || handover_->pass_news(body); };
     if (config_.listen_fd >= 0) take_over_from_elder();
     else serve();
+    engine_.grants(own_.turns);
     if (config_.peer_listen) open_peers();
     if (own_.progress.listen) open_progress();
     if (!own_.admin.socket.empty()) open_admin();
@@ -325,13 +326,29 @@
             {"open_attempts", engine_.open_attempts()}, {"counters", counters}};
   }
 
+  nlohmann::json turns() {
+    nlohmann::json at = nlohmann::json::array();
+    double now = clock_.unix_ms(loop_.now());
+    engine_.each_turn([&](int pool, const fleet::Turns::Turn& turn, const reedlb::ColdRoom& room) {
+      const Destination* known = destinations_.find(turn.entry.worker);
+      double granted = 0;
+      for (const auto& [node, given] : turn.given) granted += given.until > now && !given.back ? given.work : 0;
+      at.push_back({{"pool", pool}, {"executor", known ? known->host : ""}, {"age_s", (now - turn.entry.born) / 1000}, {"share", turn.told_share},
+                    {"left_ms", room.own}, {"held_ms", room.granted}, {"held_of", room.granted > 0 ? nlohmann::json(turn.owner) : nlohmann::json(nullptr)},
+                    {"granted_ms", granted}});
+    });
+    fleet::Turns::Figures f = engine_.turn_figures();
+    return {{"on", own_.turns && config_.settings.peers}, {"executors", at}, {"asked", f.asked}, {"got", f.got}, {"granted", f.granted}, {"denied", f.denied},
+            {"came_back", f.came_back}, {"late", f.late}};
+  }
+
   nlohmann::json fleet() {
     nlohmann::json homes = nlohmann::json::array();
     engine_.each_home([&](int pool, const reedlb::Homes::At& at) {
       const Destination* known = destinations_.find(at.worker);
       homes.push_back({{"pool", pool}, {"executor", known ? known->host : ""}, {"own", at.own}, {"others", at.others}});
     });
-    return {{"self", config_.settings.rank}, {"nodes", config_.settings.dispatchers}, {"membership", members_.status()}, {"homes", homes}};
+    return {{"self", config_.settings.rank}, {"nodes", config_.settings.dispatchers}, {"membership", members_.status()}, {"homes", homes}, {"turns", turns()}};
   }
 
   // SIGHUP: of the platform's file the settings and the discovery are taken over; the addresses to listen on, the limits
@@ -354,6 +371,7 @@
         log::open(own.log);
       own_ = std::move(own);
       take_over(std::move(next));
+      engine_.grants(own_.turns);
       ++counters_.reloads;
       log::info(Subsystem::node, "reloaded");
     } catch (const std::exception& fault) {
--- a/src/containers.h
+++ b/src/containers.h
@@ -3,7 +3,6 @@
 
 #include <cmath>
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <queue>
 #include <unordered_map>
@@ -86,19 +85,21 @@
   double total_ = 0;
 };
 
-// Amounts by time; older ones are forgotten when the sum is asked for.
+// Amounts by time, some of it to come. Older ones are forgotten as others come.
 class Window {
  public:
-  void add(double when, double amount) { amounts_.emplace_back(when, amount); }
-  double sum(double from) {
-    while (!amounts_.empty() && amounts_.front().first < from) amounts_.pop_front();
+  void add(double when, double amount, double from) {
+    std::erase_if(amounts_, [&](const auto& a) { return a.first < from; });
+    amounts_.emplace_back(when, amount);
+  }
+  double sum(double from) const {
     double all = 0;
-    for (const auto& [when, amount] : amounts_) all += amount;
+    for (const auto& [when, amount] : amounts_) all += when >= from ? amount : 0;
     return all;
   }
 
  private:
-  std::deque<std::pair<double, double>> amounts_;
+  std::vector<std::pair<double, double>> amounts_;
 };
 
 // Many alarms kept by one outside timer that is set again whenever an earlier one is due.
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -2,10 +2,7 @@
 // mechanism, its source (the paper "DriftSched") and each exception named below.
 #include <algorithm>
 #include <cmath>
-#include <unordered_map>
 
-#include "containers.h"
-#include "peers.h"
 #include "reedlb/dispatcher.h"
 #include "state.h"
 
@@ -27,18 +24,14 @@
 constexpr double kComeBack = 0.25;   // a refused client is asked to come back after so many usual runs
 constexpr double kShareSpan = 2000;    // ms of its share that a tenant may save up
 constexpr double kTenantLimit = 30;    // S_tenant of a job beyond its tenant's share is at most this
-constexpr double kHomes = 4;         // home workers a dispatcher has, if there are enough
-constexpr double kTalkHomes = 6;     // the same where dispatchers talk
-constexpr int kTellingFleet = 16;    // dispatchers from which on those at home at a worker talk of it
 constexpr double kToldLife = 5000;   // ms for which a peer's slots count unless it tells of them anew
 constexpr double kGiveWay = 40;      // ms within which a slot that a peer has given back may be filled again
-constexpr double kHeard = 2000;      // ms for which a peer that told something counts as heard
 constexpr double kOverflow = 0.1;    // usual runs a job waits for a home worker before it goes elsewhere
 constexpr int kKeyProbes = 16;       // ring look-ups that order a key's workers
 constexpr double kKeySpread = 2.5;   // workers a key is given, for each its share of traffic would fill
 constexpr double kFetchRuns = 1.5;   // a job waits so many usual runs before it leaves its key's workers
-constexpr double kColdMargin = 0.4;  // share of rule 4's budget used: hints err, and refused work counts too
-constexpr double kColdJobs = 2;      // usual runs that a dispatcher's part of that budget holds at least
+constexpr double kColdMargin = 0.62;  // share of rule 4's budget used: hints err, and refused work counts too
+constexpr double kColdPace = 0.9;    // and a kind counts as faster than its size by so much at most
 constexpr double kWindowMargin = 0.9;  // share of a keyed class's window used for further sends
 
 }  // namespace
@@ -53,13 +46,14 @@
   std::unordered_map<WorkerId, Worker> workers;     // looked up only, never iterated
   std::set<WorkerId> listed;                        // the list in force
   std::map<int, std::set<WorkerId>> cells;
-  int home_ranks = 1, dead = 0;  // a cold worker is at home with so many dispatchers; how many do not live
+  double at_home = 1;  // share of the workers that are at home here
+  int dead = 0;        // dispatchers that do not live
+  bool talks = false;  // to those who are at home where this one is
   std::vector<ClassState> classes;
   std::vector<KindState> kinds;
   std::shared_ptr<TenantShares> shares;
   std::size_t held_count = 0;
   KeyCounts key_counts;
-  ToldBy told_by;
 
   Alarms<Wake> alarms;
   std::uint64_t next_seq = 0;
@@ -122,6 +116,8 @@
     return slots(w) <= 0 || slots(w) + r.load <= w.cap;
   }
 
+  const Homes::At& here(const Worker& w) const { return cold(w) ? w.turn.home : w.home; }
+
   // Keeps the pools an exact index of the workers that are ready, not left alone, and below their cap.
   void index(Worker& w) {
     bool ready = w.entry.state == WorkerState::ready;
@@ -130,8 +126,7 @@
     if (ready) ring.emplace(mix(w.entry.worker), w.entry.worker);
     bool open = ready && now >= w.shut_until && (slots(w) <= 0 || slots(w) < w.cap);
     kinds[at(w.entry.kind)].pools[kOpen].set(w.entry.worker, open);
-    bool home = cold(w) ? w.rank < home_ranks : w.home;
-    kinds[at(w.entry.kind)].pools[kHome].set(w.entry.worker, open && home);
+    kinds[at(w.entry.kind)].pools[kHome].set(w.entry.worker, open && here(w).own);
   }
 
   void good_sign(Worker& w) {
@@ -153,16 +148,12 @@
     index(w);
   }
 
-  // Exception: of many dispatchers none knows a worker. Those at home there tell each other what they see.
-  bool talks() const { return s.peers && s.dispatchers >= kTellingFleet; }
+  // Exception: of many none knows a worker. Those at home there tell each other what they see.
   void tell(const Worker& w, Sign sign, double slow = 1, double work = 0) {
-    if (!talks() && !twin) return;
     auto note = write_note({w.entry.worker, mark_of(w.entry), w.load, sign, slow, work});
     if (twin) out->emplace_back(Tell{s.rank, note});
-    if (!talks()) return;
-    const std::vector<int>& others = cold(w) ? w.order : w.mates;
-    std::size_t most = cold(w) ? at(home_ranks - (w.rank < home_ranks)) : others.size();
-    for (std::size_t i = 0; i < std::min(most, others.size()); ++i) out->emplace_back(Tell{others[i], note});
+    if (talks)
+      for (int other : here(w).others) out->emplace_back(Tell{other, note});
   }
 
   void take_sign(Worker& w, Sign sign) {
@@ -174,13 +165,11 @@
 
   void on(const PeerMessage& e) {
     auto note = read_note(e.bytes);
-    if (note) told_by.add(e.peer, now);
     Worker* w = note ? find(note->worker) : nullptr;
     if (!w || note->life != mark_of(w->entry)) return;
     bool was_full = slots(*w) >= w->cap;
     w->told.set(e.peer, note->load, now + kToldLife);
-    bool own = e.peer == s.rank;  // the twin's budget is the same one
-    if (note->sign == Sign::sent && cold(*w)) (own ? w->cold_sent : w->told_sent).add(now, note->work);
+    if (note->sign == Sign::sent && e.peer == s.rank) sent_cold(*w, now, note->work);  // twin's
     if (note->sign == Sign::served) learn_pace(*w, note->slow);
     take_sign(*w, note->sign);
     // All who wait for a slot hear of it at once: each gives the others a moment to fill it first.
@@ -192,28 +181,26 @@
   bool cold(const Worker& w) const { return w.entry.born > 0 && now < w.entry.born + s.cold_ms; }
   // The least share of its capacity that it can have by now.
   double warmth(const Worker& w) const {
-    if (!cold(w)) return 1;
-    return s.cold_from + (1 - s.cold_from) * std::clamp((now - w.entry.born) / s.cold_ms, 0.0, 1.0);
+    return cold(w) ? s.cold_from + (1 - s.cold_from) * std::max(0.0, now - w.entry.born) / s.cold_ms : 1;
   }
   double pace(const Worker& w) const { return w.slow / warmth(w); }  // run time here now, over corrected hint
 
-  double cold_work(const Request& r) const { return std::max(r.job.hint, budget(r)); }
+  double cold_work(const Request& r, const Worker& w) const {  // as if its kind were as fast as its size says
+    double slow = std::clamp(kinds[at(w.entry.kind)].slow, 0.5, 4.0);
+    return std::max(kColdPace * r.job.hint, std::max(r.job.hint, budget(r)) * slow);
+  }
 
-  // Rule 4: what this dispatcher may still send to a cold worker, in work. Where dispatchers are many hardly
-  // one ever has two jobs at work on a worker: its registered size is believed up to twice the cores seen. So
-  // that shares do not get smaller than a job, only the first few of its order use it, more as it warms.
-  double cold_allowance(Worker& w) {
-    const KindState& kind = kinds[at(w.entry.kind)];
-    double cores = std::clamp(w.entry.nominal, kind.cores, 2 * kind.cores) / std::clamp(kind.slow, 0.5, 4.0);
+  // Rule 4: what may still go to a cold worker, of the own part of what all may send within a window and of
+  // others' that they granted. Of many hardly one sees two jobs at work: up to twice the cores are believed.
+  ColdRoom cold_room(const Worker& w) const {
+    double seen = kinds[at(w.entry.kind)].cores, cores = std::clamp(w.entry.nominal, seen, 2 * seen);
     double total = kColdMargin * s.fall_multiple * warmth(w) * cores * s.fall_ms;
-    int users = std::clamp(static_cast<int>(total / (kColdJobs * std::max(mean_run, 1.0))), 1, s.dispatchers);
-    double sent = w.cold_sent.sum(now - s.fall_ms), own = w.rank < users ? total / users - sent : 0;
-    if (!talks() || w.rank >= home_ranks) return own;
-    // Those at home there share it, but for the parts of those not heard lately: they may not hear us either.
-    double heard = (1.0 + told_by.count(w.order, home_ranks - 1, now - kHeard)) / home_ranks;
-    return std::max(own, total * heard - sent - w.told_sent.sum(now - s.fall_ms));
+    double own = total * w.turn.share - w.cold_sent.sum(now - s.fall_ms);
+    return {own, w.granted.until > now ? w.granted.work : 0, mean_run};
   }
 
+  void sent_cold(Worker& w, Time when, double work) { w.cold_sent.add(when, work, now - s.fall_ms); }
+
   // ---- the guards: every send passes may_send, every final answer passes may_bounce ----
 
   bool may_send(const Request& r, Worker& w) {
@@ -230,7 +217,7 @@
       if (c.scope == Scope::cell && a.cell != w.entry.cell) return false;
       if (now > a.sent + kWindowMargin * c.window_ms) return false;
     }
-    return !cold(w) || cold_allowance(w) >= cold_work(r);  // rule 4
+    return !cold(w) || cold_room(w).all() >= cold_work(r, w);  // rule 4
   }
 
   bool may_bounce(const Request& r) const {
@@ -300,11 +287,13 @@
 
   void send(Request& r, Worker& w) {
     unhold(r);
-    if (cold(w)) w.cold_sent.add(now, cold_work(r));
+    double of_grant = cold(w) ? std::min(cold_work(r, w), cold_room(w).granted) : 0;  // it ends sooner
+    w.granted.work -= of_grant;
+    if (cold(w)) sent_cold(w, now, cold_work(r, w) - of_grant);
     w.load += r.load;
     ++w.out, w.used = true;
     index(w);
-    tell(w, Sign::sent, 1, cold_work(r));
+    if (!cold(w) || twin) tell(w, Sign::sent, 1, cold_work(r, w));  // of a cold one what ends is news enough
     r.attempts.push_back({w.entry.worker, w.entry.zone, w.entry.cell, now});
     out->push_back(Send{r.job.request, w.entry.worker, 0});
     int attempt = static_cast<int>(r.attempts.size()) - 1;
@@ -368,8 +357,7 @@
   // with a few, which sample theirs first. A job that has waited a while for them goes anywhere.
   Worker* pick_near_home(const Request& r, bool spare) {
     if (Worker* w = sample(kHome, r, spare)) return w;
-    double strangers = std::max(0.0, 1.0 - static_cast<double>(home_ranks) / s.dispatchers);
-    double wait = kOverflow * mean_run * (1 + kCrowdWait * crowding * strangers);
+    double wait = kOverflow * mean_run * (1 + kCrowdWait * crowding * (1 - at_home));
     if (r.held && now - r.held_since < wait) return nullptr;
     return sample(kOpen, r, spare);
   }
@@ -594,9 +582,6 @@
       for (WorkerId id : missing) drop(id);
     }
     for (const auto& n : e.entries) apply(n);
-    double fleet = std::max(1.0, static_cast<double>(listed.size()));
-    home_ranks = 1 + static_cast<int>(std::ceil((talks() ? kTalkHomes : kHomes) * s.dispatchers / fleet));
-    for (WorkerId id : listed) index(workers[id]);
     if (s.ask_list && e.scope == ListScope::cached) ask_again();
   }
 
@@ -613,7 +598,7 @@
       w = &(workers[n.worker] = fresh);
       w->entry = n;
       w->slow = kinds[at(n.kind)].slow;  // until it has shown its own
-      place(*w);
+      w->turn.share = 1.0 / s.dispatchers;
       if (cold(*w)) alarms.add(n.born + s.cold_ms, Wake::reindex, n.worker);  // at home there are others then
       listed.insert(n.worker);
       cells[n.cell].insert(n.worker);
@@ -622,8 +607,6 @@
     index(*w);
   }
 
-  void place(Worker& w) { std::tie(w.rank, w.order) = order_of(life_of(w.entry), s.dispatchers, s.rank); }
-
   void drop(WorkerId id) {
     if (!listed.erase(id)) return;
     Worker& w = workers[id];
@@ -651,7 +634,6 @@
     for (int c = 0; at(c) < classes.size(); ++c)
       classes[at(c)].learned = e.from[at(c)] < 0 ? ClassState{}.learned : old[at(e.from[at(c)])].learned;
     resize();
-    for (WorkerId id : listed) place(workers[id]);
     for (const ClassState& c : classes)
       for (const Queue& held : c.held)
         for (const auto& [size, seq, id] : Queue(held))
@@ -662,8 +644,24 @@
   void on(const Members& e) { dead = static_cast<int>(std::count(e.lives.begin(), e.lives.end(), false)); }
 
   void on(const Homes& e) {
-    for (const Homes::At& at : e.workers)
-      if (Worker* w = find(at.worker)) w->home = at.own, w->mates = at.others, index(*w);
+    double own = 0;
+    for (const Homes::At& at : e.workers) {
+      own += at.own;
+      if (Worker* w = find(at.worker)) w->home = at, index(*w);
+    }
+    at_home = own / std::max(1.0, static_cast<double>(e.workers.size()));
+    talks = e.talk;
+  }
+
+  void on(const Turns& e) {
+    for (const Turns::At& at : e.workers)
+      if (Worker* w = find(at.home.worker); w && w->entry.born == at.born) w->turn = at, index(*w);
+  }
+
+  void on(const Grant& e) {
+    Worker* w = find(e.worker);
+    if (!w || w->entry.born != e.born) return;
+    e.ours ? void(w->granted = e) : sent_cold(*w, e.until, e.work);
   }
 
   void on(const Knowledge& k) {
@@ -675,7 +673,7 @@
       if (!w || w->entry.born != seen.born) continue;
       static_cast<Knowledge::OfWorker&>(*w) = seen.of;
       w->told.set(s.rank, seen.load, now + kToldLife);
-      w->cold_sent.add(now, seen.cold_work);
+      sent_cold(*w, now, seen.cold_work);
       for (Time when : {w->shut_until, now + kToldLife}) alarms.add(when, Wake::reindex, seen.worker);
       index(*w);
     }
@@ -726,6 +724,11 @@
 double Dispatcher::calibration(int cls) const { return impl_->classes.at(at(cls)).learned.factor; }
 std::size_t Dispatcher::held() const { return impl_->held_count; }
 Knowledge Dispatcher::knowledge(Time now) const { return impl_->knowledge(now); }
+ColdRoom Dispatcher::cold_room(WorkerId worker, Time now) const {
+  impl_->now = std::max(impl_->now, now);
+  const Worker* w = impl_->find(worker);
+  return w && impl_->cold(*w) ? impl_->cold_room(*w) : ColdRoom{};
+}
 bool Dispatcher::avoids(WorkerId worker, Time now) const {
   const Worker* w = impl_->find(worker);
   return w && w->entry.state == WorkerState::ready && now < w->shut_until && w->strikes + w->faults > 0;
--- a/src/peers.h
+++ b/src/peers.h
@@ -85,36 +85,4 @@
 
 inline std::uint8_t mark_of(const WorkerEntry& e) { return static_cast<std::uint8_t>(life_of(e)); }
 
-// Each worker orders all dispatchers by a hash that they share, anew when it starts again. The first few are at home
-// there, and the first few alone may use it while it is cold. The place of `self`, and the others in that order.
-inline std::pair<int, std::vector<int>> order_of(std::uint64_t seed, int dispatchers, int self) {
-  std::vector<std::pair<std::uint64_t, int>> scored;
-  for (int d = 0; d < dispatchers; ++d) scored.emplace_back(mix(seed + static_cast<std::uint64_t>(d)), d);
-  std::sort(scored.begin(), scored.end());
-  std::pair<int, std::vector<int>> order;
-  for (const auto& [score, d] : scored) {
-    if (d == self) order.first = static_cast<int>(order.second.size());
-    else order.second.push_back(d);
-  }
-  return order;
-}
-
-// When each peer was last heard.
-class ToldBy {
- public:
-  void add(int peer, Time now) { last_[peer] = now; }
-  // How many of the first `n` of `peers` have been heard since then.
-  int count(const std::vector<int>& peers, int n, Time since) const {
-    int heard = 0;
-    for (int i = 0; i < n && at(i) < peers.size(); ++i) {
-      auto it = last_.find(peers[at(i)]);
-      heard += it != last_.end() && it->second >= since;
-    }
-    return heard;
-  }
-
- private:
-  std::unordered_map<int, Time> last_;  // at most one entry for each dispatcher
-};
-
 }  // namespace reedlb
--- a/src/state.h
+++ b/src/state.h
@@ -22,12 +22,11 @@
   int out = 0;             // own attempts out
   int started = 0;         // of these, in work
   bool used = false;       // something was sent there in its present life
-  int rank = 0;            // this dispatcher's place in the worker's own order of dispatchers
-  std::vector<int> order;  // the others, in that order
-  bool home = true;        // it is, here, once it is warm; and who else is then, as was told
-  std::vector<int> mates;
+  Homes::At home{0, true, {}};  // at home here once it is warm; and who else is then, as was told
+  Turns::At turn{{0, true, {}}, 0, 0};  // the same while it is cold, and the own part of its budget
+  Grant granted;           // of others' parts, for a while
   Told told;               // slots of those among them that are at home there
-  Window cold_sent, told_sent;  // work sent within the last window while cold, here and by others
+  Window cold_sent;        // work sent while cold, or granted to others, until its end
 };
 
 enum class Fate : std::uint8_t { out, never_ran, may_have_run };
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "fleet/subsets.h"
+#include "fleet/turns.h"
 #include "reedlb/dispatcher.h"
 
 namespace reedlb {
@@ -28,14 +29,17 @@
 }
 
 struct Bench {
-  explicit Bench(Settings settings, std::uint64_t seed = 1) : d(settings, seed), homes(settings) {}
+  explicit Bench(Settings settings, std::uint64_t seed = 1) : d(settings, seed), homes(settings), turns(settings, 0) {}
 
   template <typename E>
   Actions& play(E event) {
     last.clear();
     Event played(std::move(event));
     d.handle(now, played, last);
-    if (auto told = homes.after(played)) d.handle(now, *told, last);
+    std::vector<Event> told;
+    if (auto of_homes = homes.after(played)) told.push_back(std::move(*of_homes));
+    turns.after(now, played, d, told, last);
+    for (const Event& one : told) d.handle(now, one, last);
     for (const auto& a : last) {
       if (const auto* t = std::get_if<SetTimer>(&a)) timers.push_back(*t);
       if (const auto* t = std::get_if<Send>(&a)) sends.push_back(*t);
@@ -90,6 +94,7 @@
 
   Dispatcher d;
   keelflow::fleet::Homes homes;
+  keelflow::fleet::Turns turns;
   Time now = 1000;
   Actions last;
   std::vector<Send> sends;
--- a/tests/node/own_config_test.cpp
+++ b/tests/node/own_config_test.cpp
@@ -41,7 +41,7 @@
       (cool-off 0ms) (control 10) (margin 0.01) (worse 0.04) (false-alarm 0.001) (miss 0.02) (spread 0.2) (block 500ms))
     (admin (socket "/run/k.sock"))
     (log (format json) (level warning) (file "/var/log/k") (subsystem (moves debug)))
-    (fleet (members yes) (period 100ms) (least-suspicion 200ms) (most-suspicion 1s))
+    (fleet (members yes) (turns no) (period 100ms) (least-suspicion 200ms) (most-suspicion 1s))
     (progress (listen "127.0.0.1:3100") (heartbeat 250ms) (store "127.0.0.1:6379") (expiry 5m)))");
   ASSERT_EQ(own.routes.pools.size(), 2u);
   EXPECT_EQ(own.routes.pools[0].sites, (std::vector<std::string>{"east", "west"}));
@@ -54,6 +54,7 @@
   EXPECT_EQ(own.moves[0].test.block_ms, 500);
   EXPECT_EQ(own.log.levels.at(log::Subsystem::moves), log::Level::debug);
   EXPECT_TRUE(own.members.on);
+  EXPECT_FALSE(own.turns);
   EXPECT_EQ(own.members.most_suspicion, std::chrono::seconds(1));
   EXPECT_EQ(own.progress.heartbeat, std::chrono::milliseconds(250));
   EXPECT_EQ(own.progress.listen->text(), "127.0.0.1:3100");
@@ -78,7 +79,7 @@
 TEST(OwnConfig, EachKindOfFaultIsFound) {
   for (const char* text :
        {"(pool a", "a)", "(pool \"a)", "(pool)", "(admin (socket a b))", "(admin) (admin)", "(log (level info) (level info))",
-        "(progress (listen \"nowhere\"))", "(progress (heartbeat 10))", "(progress (heartbeat 1d))", "(fleet (members maybe))", "(fleet (period 1ms))",
+        "(progress (listen \"nowhere\"))", "(progress (heartbeat 10))", "(progress (heartbeat 1d))", "(fleet (members maybe))", "(fleet (turns 1))", "(fleet (period 1ms))",
         "(fleet (least-suspicion 2s))", "(fleet (period 800ms))", "(fleet) (fleet)", "(pool a (block x))",
         "(pool a) (route r)", "(pool a) (route r (to (a -1)))", "(pool a) (pool a) (route r (to (a 1)))",
         "(pool a) (route r (to (b 1)))", "(pool a) (route r (match (class c)) (to (a 1)))", "(pool a)", "(route r (to (a 1)))",
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -147,7 +147,7 @@
   for (std::size_t i = 1; i < asked.size(); ++i) EXPECT_LE(asked[i] - asked[i - 1], s.ask_within_ms / 2);
 }
 
-// The most that was sent to a worker within any window, in shares of what makes it fall over.
+// The most that was sent to a worker within any window, in shares of what makes it fall over by its capacity then.
 using Sends = std::map<WorkerId, std::vector<std::pair<Time, double>>>;
 template <typename Capacity>
 double fullest_window(const Settings& s, Sends sent, Capacity capacity) {
@@ -156,8 +156,10 @@
     std::sort(all.begin(), all.end());
     for (std::size_t i = 0; i < all.size(); ++i) {
       double sum = 0;
-      for (std::size_t k = i; k < all.size() && all[k].first < all[i].first + s.fall_ms; ++k) sum += all[k].second;
-      most = std::max(most, sum / (s.fall_multiple * capacity(all[i].first) * s.fall_ms));
+      for (std::size_t k = i; k < all.size() && all[k].first < all[i].first + s.fall_ms; ++k) {
+        sum += all[k].second;
+        most = std::max(most, sum / (s.fall_multiple * capacity(all[k].first) * s.fall_ms));
+      }
     }
   }
   return most;
@@ -199,7 +201,7 @@
     for (double hint : {60.0, 400.0})
       for (bool all : {false, true}) {
         double worst = most_sent_to_cold(dispatchers, hint, all);
-        EXPECT_LT(worst, 1.0) << dispatchers << " dispatchers, hint " << hint << ", all cold " << all;
+        EXPECT_LE(worst, 0.70) << dispatchers << " dispatchers, hint " << hint << ", all cold " << all;
       }
   EXPECT_GT(most_sent_to_cold(3, 60, true), 0.0);  // the newcomer is used at all
 }
@@ -236,7 +238,7 @@
 
 TEST(Rule4, TwoProcessesOfOneNodeHaveOneBudget) {
   double alone = most_sent_by_twins(false, false);
-  EXPECT_LT(alone, 1.0);
+  EXPECT_LE(alone, 0.70);
   EXPECT_LT(most_sent_by_twins(true, true), 1.1 * alone);
   EXPECT_GT(most_sent_by_twins(true, false), 1.4 * alone);  // so the test would notice
 }
@@ -337,7 +339,8 @@
   std::multimap<Time, std::function<void()>> coming;
   int in_time = 0, all = 0;
 
-  LargeFleet(unsigned seed, bool peers, unsigned lost = 0) {  // so many of 100 messages are lost
+  // `lost` of 100 messages are; `mute` nodes hear all and are heard by nobody; a job comes to a node every so many steps.
+  LargeFleet(unsigned seed, bool peers, unsigned lost = 0, std::size_t mute = 0, unsigned every = 67) {
     std::mt19937 rng(seed);
     s.dispatchers = 100;
     s.parallel_tries = false;
@@ -358,13 +361,13 @@
       for (std::size_t n = 0; n < nodes.size(); ++n) {
         Bench& node = *nodes[n];
         node.advance(t);
-        if (rng() % 67 == 0) {
+        if (rng() % every == 0) {
           jobs[static_cast<RequestId>(++all)] = {t, rng() % 10 == 0 ? 1600 : 200};
           node.arrive(static_cast<RequestId>(all), jobs[static_cast<RequestId>(all)].second);
         }
         for (const Send& x : std::exchange(node.sends, {})) run(node, x, t, jobs[x.request]);
         for (Tell& x : std::exchange(node.tells, {}))
-          if (rng() % 100 >= lost)
+          if (n >= mute && rng() % 100 >= lost)
             coming.emplace(t + 2 + rng() % 20, [&to = *nodes[static_cast<std::size_t>(x.peer)], n, bytes = x.bytes] {
               to.play(PeerMessage{static_cast<int>(n), bytes});
             });
@@ -400,13 +403,21 @@
 TEST(Rule4, AHundredDispatchersTogetherUseFreshWorkersAndStayUnderTheirBudget) {
   for (unsigned seed : {1u, 2u, 3u}) {
     LargeFleet silent(seed, false), talking(seed, true), cut_off(seed, true, 100), lossy(seed, true, 20);
-    for (const LargeFleet* fleet : {&silent, &talking, &cut_off, &lossy}) EXPECT_LT(fleet->fullest(), 1) << "seed " << seed;
-    EXPECT_GT(silent.use_of_fresh(), 0.18) << "seed " << seed;  // with one core and no pace counted it was 0.13
-    EXPECT_GT(talking.use_of_fresh(), 0.3) << "seed " << seed;
-    EXPECT_GT(talking.share_in_time(), silent.share_in_time() + 0.03) << "seed " << seed;
+    // 0.62 of the budget is given out, and a job counts as nine tenths of its hint at least: 0.69 is the most.
+    for (const LargeFleet* fleet : {&silent, &talking, &cut_off, &lossy}) EXPECT_LE(fleet->fullest(), 0.70) << "seed " << seed;
+    EXPECT_GT(silent.use_of_fresh(), 0.25) << "seed " << seed;  // with parts that go by what was heard it was 0.18
+    EXPECT_GT(talking.use_of_fresh(), 0.35) << "seed " << seed;
+    EXPECT_GT(lossy.use_of_fresh(), 0.31) << "seed " << seed;
+    EXPECT_GT(talking.share_in_time(), silent.share_in_time() + 0.12) << "seed " << seed;
   }
 }
 
+// Twice the usual traffic, and nobody hears ninety of them: where budgets went by what was heard it was 0.98.
+TEST(Rule4, NinetyOfAHundredThatNobodyHearsInARushStayUnderTheBudget) {
+  LargeFleet mute(3, true, 0, 90, 30);
+  EXPECT_LE(mute.fullest(), 0.70);
+}
+
 // ---- random streams against an independent checker ----
 
 struct Checked {
