Nothing follows an accepted attempt whose call-off nobody heard, with one at a time

Ruled out: attempts before the 202, whose connection's end is what gives them up; clients' own repeats, which have other ids.

Change: such an end is Ending::unheard. Where parallel tries are not allowed the Engine tells the module of it as of a timeout: no attempt follows, and the request gets its final answer at once. give_ups_unheard counts them.

--- a/node/core/counters.h
+++ b/node/core/counters.h
@@ -11,6 +11,7 @@
   X(requests_taken) X(requests_rejected) X(answers_served) X(answers_refused) X(answers_failed)          \
   X(clients_gone) X(attempts_started) X(attempts_served) X(attempts_error) X(attempts_turned_away)       \
   X(attempts_written) X(attempts_never_connected) X(attempts_reset) X(attempts_timed_out) X(attempts_cancelled)              \
+  X(give_ups_unheard)                                                                                    \
   X(news_received) X(news_unmatched) X(probes_sent) X(connections_accepted) X(connections_opened)        \
   X(connections_shed) X(connections_worn)                                                                \
   X(connections_failed) X(accept_paused) X(lists_received) X(watches_opened) X(watches_broken)           \
--- a/node/core/engine.cpp
+++ b/node/core/engine.cpp
@@ -19,6 +19,7 @@
     case Ending::turned_away:
       return Result::full;
     case Ending::cancelled:
+    case Ending::unheard:
       return Result::cancelled;
     case Ending::broken:
       break;
@@ -312,7 +313,9 @@
   outcome.request = ref.request;
   outcome.attempt = ref.attempt;
   outcome.result = result_of(end);
-  if (outcome.result == Result::cancelled && attempt->timed_out) outcome.result = Result::timeout;
+  // Where one attempt at a time is allowed, none may follow one that may run yet.
+  bool may_run_yet = end.ending == Ending::unheard && !settings_.parallel_tries;
+  if (outcome.result == Result::cancelled && (attempt->timed_out || may_run_yet)) outcome.result = Result::timeout;
   outcome.elapsed_ms = to_ms(timers_.now() - attempt->sent);
   outcome.report = end.report;
   switch (outcome.result) {
--- a/node/core/ports.h
+++ b/node/core/ports.h
@@ -49,6 +49,7 @@
   turned_away,  // the endpoint says that it never ran
   broken,       // the connection or the process went; `reach` tells whether it may have run
   cancelled,    // given up on the Engine's word
+  unheard,      // so too, but the endpoint has taken it and could not be told: it may run yet
 };
 
 struct AttemptEnd {
--- a/node/outbound/outbound_call.cpp
+++ b/node/outbound/outbound_call.cpp
@@ -123,7 +123,10 @@
   owner_.loop_.cancel(timer_);
   if (state_ == State::giving_up) {
     owner_.pool_.forget(worker_);
-    if (deletes_ >= most_deletes_) return end(Ending::cancelled);
+    if (deletes_ >= most_deletes_) {
+      if (accepted_) ++owner_.counters_.give_ups_unheard;
+      return end(accepted_ ? Ending::unheard : Ending::cancelled);
+    }
     timer_ = owner_.loop_.at(owner_.loop_.now() + kDeletePause, [this] { send_delete(); });
     return;
   }
@@ -135,7 +138,8 @@
 void OutboundCall::give_up() {
   if (state_ == State::ended || state_ == State::giving_up) return;
   bool streaming = state_ == State::streaming;
-  most_deletes_ = state_ == State::accepted ? kMostDeletes : 1;
+  accepted_ = state_ == State::accepted;
+  most_deletes_ = accepted_ ? kMostDeletes : 1;
   reached_ = reach();
   owner_.loop_.cancel(timer_);
   owner_.pool_.discard(std::move(connection_));
--- a/node/outbound/outbound_call.h
+++ b/node/outbound/outbound_call.h
@@ -42,7 +42,7 @@
   std::string host_;
   net::Address dial_;
   std::shared_ptr<const Payload> payload_;
-  bool wants_progress_, once_, counted_ = false;
+  bool wants_progress_, once_, counted_ = false, accepted_ = false;
   std::string rest_;  // of the request, held back
   TimePoint until_;
   State state_ = State::connecting;
--- a/tests/node/platform_test.cpp
+++ b/tests/node/platform_test.cpp
@@ -523,6 +523,32 @@
   )");
 }
 
+// A DELETE that nobody heard gives nothing up: the endpoint has the whole job and may run it yet.
+TEST(Platform, AnAcceptedJobThatCannotBeCalledOffGoesNowhereElse) {
+  play(R"(
+    open c
+    send c job A price 15000
+    accept b box
+    expect b body
+    send b ok 202
+    list box2:ready
+    expect b DELETE /jobs/A
+    closed b
+    accept d1 box
+    expect d1 DELETE /jobs/A
+    closed d1
+    accept d2 box
+    expect d2 DELETE /jobs/A
+    closed d2
+    accept d3 box
+    expect d3 DELETE /jobs/A
+    expect c HTTP/1.1 503
+    wait give_ups_unheard 1
+    wait attempts_timed_out 1
+    wait attempts_started 1
+  )");
+}
+
 TEST(Platform, ASilentEndpointHoldsUpTheNextAttemptOnlyShortly) {
   play(R"(
     open c
