Turns: an elder's grants are waited out, and draining executors are not asked for

Cause, found on rereading: a process that takes over from an elder waited from its own start, but the elder may grant until the two talk; and an executor's entry was kept as first listed (Turns::take tells only of those that come or go), so one listed as draining was never asked for when ready, and one that drained still was.

Change: the wait begins with the elder's knowledge; entries follow each list.

--- a/logic/fleet/turns.cpp
+++ b/logic/fleet/turns.cpp
@@ -82,6 +82,7 @@
   now_ = std::max(now_, now);
   if (const auto* list = std::get_if<reedlb::WorkerList>(&event)) {
     if (take(*list)) order();
+    for (auto& [id, turn] : turns_) turn.entry = workers_.at(id);  // it may have begun to drain
   } else if (const auto* members = std::get_if<reedlb::Members>(&event)) {
     if (members->lives.size() == lives_.size()) lives_ = members->lives;
   } else if (const auto* retune = std::get_if<reedlb::Retune>(&event)) {
@@ -93,8 +94,9 @@
     order();
   } else if (const auto* twin = std::get_if<reedlb::Twin>(&event)) {
     twin_ = twin->here;
-  } else if (std::get_if<reedlb::Knowledge>(&event) && !peers_) {
-    started_ = -1e18;  // it knows what its former life sent, and nobody was granted anything
+  } else if (std::holds_alternative<reedlb::Knowledge>(event)) {
+    // It is told what its elder sent, but not what that granted, until now.
+    started_ = peers_ ? now_ : -1e18;
   }
   if (turns_.empty()) return;
   age(dispatcher, told, out);
@@ -136,7 +138,7 @@
   next_ = 0;
 }
 
-// Rounded ends of the former life's grants, and what it sent by itself.
+// Until all is out of the window that a former life may have sent, or granted to others who sent it at the grant's end.
 bool Turns::waits(const Turn& turn) const {
   double over = started_ + window_ + (peers_ ? (1 + kDrift) * length_ : 0);
   return turn.entry.born <= started_ && now_ < over;
--- a/tests/logic/turns_test.cpp
+++ b/tests/logic/turns_test.cpp
@@ -226,6 +226,35 @@
   EXPECT_FALSE(Node(s, 0, kBorn).job());
 }
 
+TEST(Turns, WhoTakesOverFromAnElderWaitsOutItsGrantsWhereNodesMayTalk) {
+  for (bool talk : {true, false}) {
+    Settings s = many(1);
+    s.peers = talk;
+    Node elder(s, 0, kBorn - 1), younger(s, 0, kBorn + 100);
+    EXPECT_FALSE(younger.job());
+    // The elder may have granted until now.
+    younger.bench.now = kBorn + 2000;
+    younger.bench.play(elder.bench.d.knowledge(kBorn + 2000));
+    younger.bench.now = kBorn + 2000 + s.fall_ms;
+    younger.job();
+    EXPECT_EQ(younger.job(), !talk);
+    younger.bench.now += (1 + kDrift) * younger.bench.turns.length() + 1;
+    younger.job();
+    EXPECT_TRUE(younger.job());
+  }
+}
+
+TEST(Turns, AnExecutorThatBecomesReadyIsAskedForAndOneThatDrainsIsNot) {
+  Pair p;
+  for (auto [state, asks] : {std::pair(WorkerState::draining, false), std::pair(WorkerState::ready, true)}) {
+    p.to(kBorn + (asks ? 300 : 100));
+    WorkerList list;
+    list.entries = {{kCold, 0, 0, 0, state, 1, kBorn}};
+    p.asker->bench.play(list);
+    EXPECT_EQ(!p.ask().empty(), asks);
+  }
+}
+
 TEST(Turns, ForeignWordsChangeNothing) {
   Pair p;
   p.to(kBorn + 100);
