--- a/node/config/config.cpp
+++ b/node/config/config.cpp
@@ -19,14 +19,20 @@
 std::string plain(const json& value) {
   if (!value.is_string()) return value.dump();
   std::string text = value.get<std::string>();
-  std::replace_if(text.begin(), text.end(), [](char c) { return c == ' ' || c == ',' || c == '\n'; }, '_');
+  std::replace_if(text.begin(), text.end(), [](char c) { return c == ' ' || c == ',' || c == '\n' || c == '\r'; }, '_');
   return text;
 }
 
+// A key is no place for what the lines are made of: it would end its line, or name another setting.
+std::string plain_key(std::string key) {
+  std::replace_if(key.begin(), key.end(), [](char c) { return c == '=' || c == '.' || c == '\n' || c == '\r'; }, '_');
+  return key;
+}
+
 void flatten(const json& value, const std::string& path, std::string& out) {
   auto below = [&](const std::string& key) { return path.empty() ? key : path + "." + key; };
   if (value.is_object()) {
-    for (const auto& [key, item] : value.items()) flatten(item, below(key), out);
+    for (const auto& [key, item] : value.items()) flatten(item, below(plain_key(key)), out);
   } else if (value.is_array()) {
     bool objects = std::any_of(value.begin(), value.end(), [](const json& item) { return item.is_structured(); });
     if (objects) {
@@ -67,6 +73,15 @@
   if (settings.contains("limits")) positive(settings.at("limits"), "try_limit", "settings.limits.");
 }
 
+Duration longest_deadline(const json& classes) {
+  Duration longest{};
+  for (const json& cls : classes) {
+    if (!cls.contains("give_up_ms")) return Duration::max();
+    longest = std::max(longest, from_ms(std::min(cls.at("give_up_ms").get<double>(), 1e9)));
+  }
+  return longest;
+}
+
 // Of the list of hosts and the seed nothing is kept: they may be absent.
 std::string shape_of(json root) {
   root.erase("known");
@@ -135,6 +150,7 @@
     c.connect_timeout = from_ms(limits.value("connect_timeout_ms", 200.0));
     c.idle_limit = from_ms(limits.value("conn_idle_ms", 5000.0));
     c.most_held = limits.value("most_held", std::size_t{20000});
+    c.longest_deadline = longest_deadline(settings.at("classes"));
     c.tick = from_ms(c.settings.tick_ms);
     read_peers(root, c);
     if (root.contains("known") && root.at("known").is_object()) c.known = decode_list(root.at("known"), c.names);
--- a/node/config/config.h
+++ b/node/config/config.h
@@ -28,6 +28,7 @@
   Names names;
   std::vector<std::string> report_names;
   Duration connect_timeout{}, idle_limit{}, tick{};
+  Duration longest_deadline = Duration::max();  // of all classes; unlimited where one names none
   std::size_t most_held = 20000;
   HostList known;
   // Where the platform lets nodes send one another messages: the own address and everybody's, by rank.
--- a/node/core/counters.h
+++ b/node/core/counters.h
@@ -13,7 +13,7 @@
   X(attempts_written) X(attempts_never_connected) X(attempts_reset) X(attempts_timed_out) X(attempts_cancelled)              \
   X(give_ups_unheard)                                                                                    \
   X(news_received) X(news_unmatched) X(probes_sent) X(connections_accepted) X(connections_opened)        \
-  X(connections_shed) X(connections_worn)                                                                \
+  X(connections_shed) X(connections_worn) X(answers_doubted)                                                                \
   X(connections_failed) X(accept_paused) X(lists_received) X(watches_opened) X(watches_broken)           \
   X(reloads) X(reloads_failed) X(drain_stage)                                                            \
   X(streams_opened) X(events_sent) X(events_dropped) X(slow_readers_closed)               \
--- a/node/core/engine.cpp
+++ b/node/core/engine.cpp
@@ -244,6 +244,7 @@
 void Engine::client_gone(RequestId id) {
   auto it = requests_.find(id);
   if (it == requests_.end() || !it->second.asker) return;
+  std::vector<AttemptRef> unsent;
   ++counters_.clients_gone;
   --pending_;
   it->second.asker = nullptr;
@@ -252,7 +253,12 @@
     screen_->forget(id);
     return forget_if_over(id);
   }
+  // Where the settings bar calling attempts off the module leaves them be; one that nothing has been written of is no
+  // attempt yet, and nobody waits for it.
+  for (std::size_t i = 0; !settings_.cancel && i < it->second.attempts.size(); ++i)
+    if (it->second.attempts[i].out) unsent.push_back({id, static_cast<int>(i)});
   post(it->second.pool, reedlb::ClientGone{id});
+  for (AttemptRef ref : unsent) endpoints_->give_up_unsent(ref);
 }
 
 void Engine::send(const reedlb::Send& send) {
@@ -262,12 +268,13 @@
   AttemptRef ref{send.request, static_cast<int>(request.attempts.size())};
   TimePoint now = timers_.now(), until = request.deadline;
   if (send.timeout_ms != 0) until = std::min(until, now + from_ms(std::max(0.0, send.timeout_ms)));
+  bool again = std::any_of(request.attempts.begin(), request.attempts.end(), [&](const Attempt& a) { return a.worker == send.worker && (a.out || a.may_tell); });
   Attempt attempt{.worker = send.worker, .sent = now};
   attempt.timer = timers_.at(until, [this, ref] { recall(ref, true); });
   request.attempts.push_back(attempt);
   ++counters_.attempts_started;
   ++attempts_out_;
-  endpoints_->start(ref, send.worker, request.job, until);
+  endpoints_->start(ref, send.worker, request.job, until, again);
 }
 
 Engine::Attempt* Engine::out(AttemptRef ref) {
@@ -306,6 +313,7 @@
   Attempt* attempt = out(ref);
   if (!attempt) return;
   attempt->out = false;
+  attempt->may_tell = end.may_tell;
   --attempts_out_;
   timers_.cancel(attempt->timer);
   Request& request = requests_.at(ref.request);
--- a/node/core/engine.h
+++ b/node/core/engine.h
@@ -80,7 +80,7 @@
     WorkerId worker = 0;
     TimePoint sent;
     TimerId timer = 0;
-    bool out = true, started = false, timed_out = false, giving_up = false;
+    bool out = true, started = false, timed_out = false, giving_up = false, may_tell = false;
   };
   struct Request {
     Job job;
--- a/node/core/ports.h
+++ b/node/core/ports.h
@@ -55,6 +55,7 @@
 struct AttemptEnd {
   Ending ending = Ending::broken;
   Reach reach = Reach::never_written;
+  bool may_tell = false;         // the endpoint may have taken it, so that call-backs of it may still come
   std::string result = {};  // of `served`
   reedlb::LoadReport report = {};
 };
@@ -112,8 +113,11 @@
 class EndpointPort {
  public:
   virtual ~EndpointPort() = default;
-  virtual void start(AttemptRef ref, WorkerId worker, const Job& job, TimePoint until) = 0;
+  // `again`: call-backs of an earlier attempt of this request at that endpoint may still come.
+  virtual void start(AttemptRef ref, WorkerId worker, const Job& job, TimePoint until, bool again) = 0;
   virtual void give_up(AttemptRef ref) = 0;
+  // Only if its last byte has not been written: then nothing has been asked of the endpoint yet.
+  virtual void give_up_unsent(AttemptRef ref) = 0;
   virtual void probe(WorkerId worker) = 0;
 };
 
--- a/node/discovery/destination_set.h
+++ b/node/discovery/destination_set.h
@@ -9,6 +9,7 @@
 #include "core/counters.h"
 #include "core/ports.h"
 #include "discovery/host_list.h"
+#include "discovery/value_frames.h"
 #include "outbound/client_connection.h"
 
 namespace keelflow {
@@ -16,6 +17,7 @@
 struct Destination {
   std::string host;
   net::Address dial;
+  bool wants = true;  // listed as ready: an attempt may begin there
 };
 
 class DestinationSet final : public DestinationPort, ClientConnection::User {
@@ -49,8 +51,9 @@
   void on_broken() override { broken(); }
 
   void open();
-  void expect(Duration within);
-  void line(std::string_view text);
+  void expect(TimePoint by);
+  bool object(const std::string& text);
+  bool take_or_ask_again(const HostList& list);
   void take(const HostList& list, reedlb::ListScope scope);
   void broken();
 
@@ -63,7 +66,10 @@
   std::unique_ptr<ClientConnection> connection_;
   std::uint64_t version_ = 0;
   bool has_list_ = false, accepted_ = false, pushed_ = false;
-  std::string buffer_;
+  bool any_version_ = true;  // the next object counts whatever its version: its discovery is new to us, or was asked for all
+  bool fell_silent_ = false;  // the last watch did, and nothing has been heard since
+  ValueFrames frames_;
+  TimePoint begun_, silent_;  // the object that is not complete yet; when silence was noticed
   TimerId silence_ = 0, retry_ = 0;
   Duration back_off_{};
 };
--- a/node/inbound/platform_front.cpp
+++ b/node/inbound/platform_front.cpp
@@ -83,7 +83,7 @@
   if (!patience || *patience < 0 || *patience > kMostPatienceMs)
     return Rejection{400, "X-Expires-In-Ms is missing or out of range\n"};
   job.patience = std::chrono::milliseconds(*patience);
-  job.tenant = std::max(0, Names::place(names.tenants, head.find("X-Customer")));
+  job.tenant = Names::place(names.tenants, head.find("X-Customer"));  // -1: it has no share, and uses up nobody's
   if (std::string_view key = head.find("X-Object"); !key.empty()) {
     // Keys that are no number still have to be the same one at every node.
     job.key = number<std::uint64_t>(key, 16).value_or(0);
@@ -170,8 +170,16 @@
   return true;
 }
 
+bool PlatformFront::left_early(InboundConnection& connection) {
+  if (!connection.client_left()) return false;
+  ++counters_.clients_gone;
+  connection.abandon();
+  return true;
+}
+
 std::unique_ptr<Exchange> PlatformFront::take_plain(InboundConnection& connection, Job job) {
   auto figures = [this, cls = static_cast<std::size_t>(job.cls)]() -> ClassFigures& { return counters_.classes[config_.names.classes.at(cls)]; };
+  if (left_early(connection)) return nullptr;
   if (turned_away(connection)) return ++figures().rejected, nullptr;
   auto exchange = std::make_unique<PlainExchange>(engine_, connection);
   if (!exchange->take(std::move(job))) {
--- a/node/inbound/platform_front.h
+++ b/node/inbound/platform_front.h
@@ -35,6 +35,8 @@
   std::function<bool(const std::string& body)> pass_news;
   // The limit on connections: what comes over it is refused before the Engine sees it.
   bool turned_away(InboundConnection& connection);
+  // Its client has gone before its request was read, as happens where the loop was held up: nobody waits for an answer.
+  bool left_early(InboundConnection& connection);
   // One job, answered with a single plain answer.
   std::unique_ptr<Exchange> take_plain(InboundConnection& connection, Job job);
 
--- a/node/inbound/server.cpp
+++ b/node/inbound/server.cpp
@@ -157,6 +157,7 @@
   // A fault of a front must not reach the other connections.
   try {
     auto exchange = front_.on_request(*this, std::exchange(request_, {}));
+    if (exchange && over_) exchange->on_client_gone();  // it has gone while its request was taken
     if (busy_ && !over_) exchange_ = std::move(exchange);
     else loop_.dispose(std::move(exchange));
   } catch (const std::exception& fault) {
@@ -315,9 +316,9 @@
 // What the kernel has accepted is taken by the platform's rules, so nothing waits in the backlog if it can be
 // helped: others make room first, and only when none can be spared does accepting pause. Who connects faster than we
 // accept must not hold the loop: after some the others get their turn.
-void Server::accept() {
+void Server::accept(bool all) {
   for (int count = 0; fd_ >= 0 && accepting_; ++count) {
-    if (count == kMostAccepts) return loop_.next_turn(registration_);
+    if (count == kMostAccepts && !all) return loop_.next_turn(registration_);
     if (connections_.size() >= most_ + most_ / kReserve && !free_one()) return pause();
     int fd = ::accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (fd < 0) {
@@ -386,6 +387,12 @@
   for (InboundConnection* connection : idle) connection->abandon();
 }
 
+void Server::take_the_last() {
+  if (fd_ < 0) return;
+  accept(true);
+  close();
+}
+
 void Server::close() {
   loop_.cancel(pause_);
   if (fd_ < 0) return;
--- a/node/inbound/server.h
+++ b/node/inbound/server.h
@@ -56,6 +56,7 @@
   // Nothing begun, nothing owed, and nothing unread: a connection that is closed must not take a request with it.
   bool idle() const { return !busy_ && parser_.idle() && connection_.pending() == 0 && connection_.quiet(); }
   bool quiet() const { return connection_.quiet(); }
+  bool client_left() const { return connection_.peer_ended(); }  // it sent no more than what has been read so far
   TimePoint since() const { return since_; }
   void abandon();  // closes; an exchange in hand hears that its client has gone
 
@@ -102,6 +103,8 @@
   // From here on answers end their connection. Accepting goes on until `close`.
   void drain();
   void close_idle();
+  // Accepts what the kernel has accepted, all of it, and listens no more: whoever connects later is told so at once.
+  void take_the_last();
   void close();
   std::size_t connections() const { return connections_.size(); }
   std::size_t busy() const;
@@ -112,7 +115,7 @@
   friend class InboundConnection;
   void on_ready(std::uint32_t events) override;
   void on_turn() override { accept(); }
-  void accept();
+  void accept(bool all = false);
   void serve(int fd);
   void pause();
   bool free_one(const InboundConnection* except = nullptr);
--- a/node/net/connection.h
+++ b/node/net/connection.h
@@ -39,6 +39,7 @@
   bool open() const { return fd_ >= 0; }
   bool quiet() const;  // open, and the peer has neither sent nor ended anything that is still unread
   bool connected() const { return connected_; }
+  bool peer_ended() const { return hung_up_; }  // told by the kernel, perhaps ahead of bytes that are still to be read
   std::size_t pending() const { return out_.size() - out_at_; }
   std::uint64_t written() const { return written_; }  // bytes that the kernel has taken
 
--- a/node/net/event_loop.cpp
+++ b/node/net/event_loop.cpp
@@ -27,7 +27,7 @@
 }
 
 void EventLoop::run() {
-  std::array<epoll_event, 128> events;
+  std::array<epoll_event, 512> events;
   while (!stopped_) {
     // A deferred task may defer more, and a destructor may dispose of what it owned: neither list may be walked
     // while it grows.
@@ -45,11 +45,14 @@
     }
     int count = epoll_wait(epoll_, events.data(), static_cast<int>(events.size()), timeout);
     if (count < 0 && errno != EINTR) throw std::system_error(errno, std::generic_category(), "epoll_wait");
-    for (int i = 0; i < count; ++i) {
-      const epoll_event& event = events[static_cast<std::size_t>(i)];
-      auto it = handlers_.find(event.data.u64);
-      if (it != handlers_.end()) it->second->on_ready(event.events);
-    }
+    // Who has gone is heard first: what else this turn brings must not be done for them.
+    const auto* end = events.data() + std::max(0, count);
+    for (bool gone : {true, false})
+      for (const auto* event = events.data(); event != end; ++event) {
+        if (((event->events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0) != gone) continue;
+        auto it = handlers_.find(event->data.u64);
+        if (it != handlers_.end()) it->second->on_ready(event->events);
+      }
     for (std::uint64_t registration : std::exchange(unfinished_, {})) {
       auto it = handlers_.find(registration);
       if (it != handlers_.end()) it->second->on_turn();
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -37,8 +37,9 @@
 // After SIGTERM the front brings new connections for up to 0.4 s, and clients use the ones they have for as long as
 // these stay open. While the next node is still starting they have no other place to go to.
 constexpr Duration kStillServing = 1600ms;
-// SIGKILL comes 3.7 s after SIGTERM at the earliest. What came in more than 0.7 s after SIGTERM must be answered by then.
-constexpr Duration kForgiven = 600ms, kLastAnswer = 3400ms;
+// SIGKILL comes as long after SIGTERM as the longest deadline, of which 3 s count at most, and 0.7 s. What came in more
+// than 0.7 s after SIGTERM must be answered by then; a little before that all answers are out.
+constexpr Duration kMostDeadline = 3s, kAfterDeadline = 700ms, kForgiven = 600ms, kAnswersTravel = 300ms;
 constexpr Duration kDrainCheck = 20ms;
 constexpr Duration kRetryAddress = 50ms;
 constexpr Duration kListArrives = 30ms;
@@ -401,12 +402,16 @@
     TimePoint told = loop_.now();
     loop_.at(told + kForgiven, [this, told] {
       if (counters_.drain_stage < 2) counters_.drain_stage = 2;
-      engine_.answer_all_by(told + kLastAnswer);
+      engine_.answer_all_by(told + last_answer());
     });
-    loop_.at(told + kStillServing, [this] { leave(); });
+    loop_.at(told + std::min(kStillServing, last_answer()), [this] { leave(); });
     if (handover::leaves_accepting(true, successor_)) leave();
   }
 
+  Duration last_answer() const {
+    return std::min(config_.longest_deadline, kMostDeadline) + kAfterDeadline - kAnswersTravel;
+  }
+
   // With a successor at once: it accepts from the same socket, and clients lose nothing by coming back to it.
   void leave() {
     if (counters_.drain_stage == 3) return;
@@ -423,7 +428,12 @@
     if (progress_server_) progress_server_->close_idle();
     bool over = engine_.open_requests() == 0 && engine_.open_attempts() == 0 && server_.busy() == 0 &&
                 (!progress_server_ || progress_server_->busy() == 0);
-    if (over && (!handover_ || (handover_->flushed() && !handover_->elder_here()))) return loop_.stop();
+    if (over && (!handover_ || (handover_->flushed() && !handover_->elder_here()))) {
+      // What the kernel has accepted is taken: it is served before the end, and nothing comes after it.
+      server_.take_the_last();
+      if (progress_server_) progress_server_->take_the_last();
+      if (server_.connections() == 0 && (!progress_server_ || progress_server_->connections() == 0)) return loop_.stop();
+    }
     loop_.at(loop_.now() + kDrainCheck, [this] { check_drained(); });
   }
 
--- a/node/outbound/outbound.cpp
+++ b/node/outbound/outbound.cpp
@@ -62,11 +62,11 @@
 
 Outbound::~Outbound() = default;
 
-void Outbound::start(AttemptRef ref, WorkerId worker, const Job& job, TimePoint until) {
+void Outbound::start(AttemptRef ref, WorkerId worker, const Job& job, TimePoint until, bool again) {
   const Destination* to = destinations_.find(worker);
   if (!to) return engine_.attempt_ended(ref, {.ending = Ending::broken, .reach = Reach::never_written});
   auto& call = calls_[{ref.request, ref.attempt}];
-  call = std::make_unique<OutboundCall>(*this, ref, worker, *to, job, until);
+  call = std::make_unique<OutboundCall>(*this, ref, worker, *to, job, until, again);
   by_name_[call->id()] = ref.request;
   call->begin();
 }
@@ -76,6 +76,11 @@
   if (it != calls_.end()) it->second->give_up();
 }
 
+void Outbound::give_up_unsent(AttemptRef ref) {
+  auto it = calls_.find({ref.request, ref.attempt});
+  if (it != calls_.end() && it->second->unsent()) it->second->give_up();
+}
+
 void Outbound::probe(WorkerId worker) {
   const Destination* to = destinations_.find(worker);
   if (!to) return engine_.probed(worker, false, {}, {});
--- a/node/outbound/outbound.h
+++ b/node/outbound/outbound.h
@@ -38,8 +38,9 @@
            Counters& counters);
   ~Outbound() override;
 
-  void start(AttemptRef ref, WorkerId worker, const Job& job, TimePoint until) override;
+  void start(AttemptRef ref, WorkerId worker, const Job& job, TimePoint until, bool again) override;
   void give_up(AttemptRef ref) override;
+  void give_up_unsent(AttemptRef ref) override;
   void probe(WorkerId worker) override;
 
   void retune(Settings settings) { settings_ = std::move(settings); }
--- a/node/outbound/outbound_call.cpp
+++ b/node/outbound/outbound_call.cpp
@@ -12,6 +12,10 @@
 // A request that must not run twice goes on a new connection, and its last byte a little after the others: by then it
 // has shown whether the connection is reset. Up to there it never ran, and may be sent again.
 constexpr Duration kSettle = std::chrono::milliseconds(5);
+constexpr Duration kBodyPatience = std::chrono::milliseconds(100);  // from an answer's head to its end
+// An endpoint may answer twice, some milliseconds apart. On a connection that was used so shortly before, an answer that ends
+// the attempt may be the second one to the request before.
+constexpr Duration kSecondAnswer = std::chrono::milliseconds(100);
 constexpr int kMostDeletes = 3;  // tries to tell an endpoint that its job is given up
 constexpr Duration kDeletePause = std::chrono::milliseconds(100);
 constexpr Duration kDeletePatience = std::chrono::milliseconds(300);
@@ -19,9 +23,9 @@
 }  // namespace
 
 OutboundCall::OutboundCall(Outbound& owner, AttemptRef ref, WorkerId worker, const Destination& to, const Job& job,
-                           TimePoint until)
+                           TimePoint until, bool again)
     : owner_(owner), ref_(ref), worker_(worker), host_(to.host), dial_(to.dial), payload_(job.payload),
-      wants_progress_(job.wants_progress), once_(job.once), until_(until) {}
+      wants_progress_(job.wants_progress), once_(job.once), again_(again), until_(until) {}
 
 OutboundCall::~OutboundCall() {
   owner_.loop_.cancel(timer_);
@@ -32,6 +36,7 @@
   connection_ = owner_.pool_.take(worker_, dial_, once_);
   if (!connection_) return end(Ending::broken);
   connection_->attach(this);
+  soon_ = connection_->stood() > Duration::zero() && connection_->stood() < kSecondAnswer;
   if (connection_->connected()) return write_request();
   timer_ = owner_.loop_.at(owner_.loop_.now() + owner_.settings_.connect_timeout, [this] { on_broken(); });
 }
@@ -43,6 +48,9 @@
 }
 
 void OutboundCall::write_request() {
+  // It may have come up late: from a drain that was told meanwhile on, not even a first byte goes there.
+  const Destination* still = owner_.destinations_.find(worker_);
+  if (!still || !still->wants || still->dial != dial_) return on_broken();
   state_ = State::asked;
   auto left = std::chrono::floor<std::chrono::milliseconds>(until_ - owner_.loop_.now()).count();
   const Payload& p = *payload_;
@@ -87,7 +95,17 @@
     state_ = State::streaming;
     reached_ = Reach::accepted;
     connection_->allow_stream();
+    return;
   }
+  timer_ = owner_.loop_.at(owner_.loop_.now() + kBodyPatience, [this] { cut_off(); });
+}
+
+// An answer whose end does not come. That it has been taken is believed, as there may be something to call off; that it
+// never ran is not: half an answer proves nothing.
+void OutboundCall::cut_off() {
+  if (status_ != 202 || !rest_.empty()) return on_broken();
+  owner_.pool_.discard(std::move(connection_));
+  answered();
 }
 
 void OutboundCall::on_body(std::string_view bytes) {
@@ -101,19 +119,26 @@
 void OutboundCall::on_complete(bool reusable) {
   if (state_ == State::streaming) return on_broken();  // an end without a final event
   if (!rest_.empty()) reusable = false, reached_ = reach();
+  owner_.loop_.cancel(timer_);
   auto connection = std::move(connection_);
   if (reusable) owner_.pool_.give_back(worker_, std::move(connection));
   else owner_.pool_.discard(std::move(connection));
-  if (state_ == State::giving_up) return end(Ending::cancelled);
+  if (state_ == State::giving_up) return end(doubtful_.value_or(Ending::cancelled));
   if (state_ != State::asked) return;
   if (status_ == 202 && !rest_.empty()) return on_broken();  // it cannot have taken what it does not have yet
+  answered();
+}
+
+void OutboundCall::answered() {
   if (status_ == 202) {
     state_ = State::accepted;
     reached_ = Reach::accepted;
     return;
   }
   bool turned_away = never_ran_ && (status_ == 503 || status_ == 504);
-  end(turned_away ? Ending::turned_away : Ending::error, {}, report_);
+  Ending ending = turned_away ? Ending::turned_away : Ending::error;
+  if (soon_) return call_off(ending);
+  end(ending, {}, report_);
 }
 
 void OutboundCall::on_broken() {
@@ -125,7 +150,7 @@
     owner_.pool_.forget(worker_);
     if (deletes_ >= most_deletes_) {
       if (accepted_) ++owner_.counters_.give_ups_unheard;
-      return end(accepted_ ? Ending::unheard : Ending::cancelled);
+      return end(accepted_ ? Ending::unheard : doubtful_.value_or(Ending::cancelled));
     }
     timer_ = owner_.loop_.at(owner_.loop_.now() + kDeletePause, [this] { send_delete(); });
     return;
@@ -167,13 +192,19 @@
                     "\r\nContent-Length: 0\r\n\r\n");
 }
 
-void OutboundCall::news(const News& news) {
+void OutboundCall::news(const News& news) { hear(news, !again_); }
+
+// `certain`: it is of this attempt and no other.
+void OutboundCall::hear(const News& news, bool certain) {
   // A call-back that comes before the last byte is out belongs to an earlier attempt at the same endpoint.
   if (state_ == State::ended || reach() < Reach::fully_written) {
     ++owner_.counters_.news_unmatched;
     return;
   }
   if (news.state == "done") return end(Ending::served, news.result, news.report);
+  bool over = news.state == "failed" || news.state == "returned" || news.state == "lost";
+  told_ = true;
+  if (over && !certain) return call_off(Ending::error);
   if (news.state == "failed") return end(Ending::error, {}, news.report);
   if (news.state == "returned") return end(Ending::turned_away, {}, news.report);
   if (news.state == "lost") return reached_ = reach(), end(Ending::broken, {}, news.report);
@@ -182,6 +213,15 @@
   if (news.state == "running") owner_.engine_.attempt_progress(ref_, news.share);
 }
 
+// A call-back names no attempt and comes again until it has been answered: where this endpoint has had the request before,
+// an end may be that of the earlier attempt. An answer may be the second one to another request. In both cases the attempt is
+// called off, which makes its end true.
+void OutboundCall::call_off(Ending ending) {
+  ++owner_.counters_.answers_doubted;
+  doubtful_ = ending;
+  give_up();
+}
+
 // The same words as in the call-backs: a stream is these, told on one connection.
 void OutboundCall::read_event(const SseEvent& event) {
   News told{.id = payload_->id, .from = host_, .state = event.type, .result = {}};
@@ -193,13 +233,16 @@
     told.state = "running";
     told.share = data["share"].get<double>();
   }
-  news(told);
+  hear(told, true);
 }
 
 void OutboundCall::end(Ending ending, std::string result, const reedlb::LoadReport& report) {
-  if (std::exchange(state_, State::ended) == State::ended) return;
+  State was = std::exchange(state_, State::ended);
+  if (was == State::ended) return;
   owner_.loop_.cancel(timer_);
-  owner_.ended(*this, {.ending = ending, .reach = reach(), .result = std::move(result), .report = report});
+  bool refused = was == State::asked && status_ != 0 && !told_;  // its own answer says that it was not taken
+  owner_.ended(*this, {.ending = ending, .reach = reach(), .may_tell = !refused && reach() >= Reach::fully_written,
+                       .result = std::move(result), .report = report});
 }
 
 }  // namespace keelflow
--- a/node/outbound/outbound_call.h
+++ b/node/outbound/outbound_call.h
@@ -1,6 +1,8 @@
 // One attempt of a request at one endpoint, from the connection to its end.
 #pragma once
 
+#include <optional>
+
 #include "outbound/outbound.h"
 #include "progress/event_stream.h"
 
@@ -9,11 +11,12 @@
 class OutboundCall final : ClientConnection::User {
  public:
   OutboundCall(Outbound& owner, AttemptRef ref, WorkerId worker, const Destination& to, const Job& job,
-               TimePoint until);
+               TimePoint until, bool again);
   ~OutboundCall() override;
 
   void begin();
   void give_up();
+  bool unsent() const { return reach() < Reach::fully_written; }
   void news(const News& news);
   AttemptRef ref() const { return ref_; }
   const std::string& host() const { return host_; }
@@ -31,6 +34,10 @@
 
   void write_request();
   void write_rest();
+  void answered();
+  void cut_off();
+  void call_off(Ending ending);
+  void hear(const News& news, bool certain);
   void read_event(const SseEvent& event);
   void send_delete();
   void end(Ending ending, std::string result = {}, const reedlb::LoadReport& report = {});
@@ -42,7 +49,8 @@
   std::string host_;
   net::Address dial_;
   std::shared_ptr<const Payload> payload_;
-  bool wants_progress_, once_, counted_ = false, accepted_ = false;
+  bool wants_progress_, once_, again_, counted_ = false, accepted_ = false, told_ = false, soon_ = false;
+  std::optional<Ending> doubtful_;  // how it may have ended; or an earlier attempt there
   std::string rest_;  // of the request, held back
   TimePoint until_;
   State state_ = State::connecting;
--- a/node/progress/progress_front.cpp
+++ b/node/progress/progress_front.cpp
@@ -251,7 +251,7 @@
     ++counters_.requests_rejected;
     return connection.respond(rejection->status, rejection->text), nullptr;
   }
-  if (platform_.turned_away(connection)) return nullptr;
+  if (platform_.left_early(connection) || platform_.turned_away(connection)) return nullptr;
   std::get<Job>(job).wants_progress = true;
   auto exchange = std::make_unique<ProgressStream>(*this, connection);
   if (exchange->take(std::move(std::get<Job>(job)))) return exchange;
--- /dev/null
+++ b/tests/node/crossings_test.cpp
@@ -0,0 +1,606 @@
+// Moments in which two events cross, forced in either order. docs/design/crossings.md names each of them.
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <functional>
+#include <sstream>
+
+#include "config/retune.h"
+#include "inbound/platform_front.h"
+#include "scenario.h"
+#include "start.h"
+
+namespace keelflow::test {
+namespace {
+
+void play(const std::string& text, const Options& options = {}) {
+  Scenario scenario(options);
+  scenario.play(kStart);
+  if (!testing::Test::HasFailure()) scenario.play(text);
+}
+
+Options with(const std::string& settings) {
+  Options options;
+  options.settings = settings;
+  return options;
+}
+
+const std::string kHead = R"(HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n)";
+const std::string kDraining = R"({"host":"box","dial":"127.0.0.1:9","site":"east","class":"fast","block":1,"health":"draining"})";
+std::string chunk(const std::string& json) { return "send disco chunk " + json + "\n"; }
+std::string delta(int version, const std::string& hosts) { return chunk("{\"seq\":" + std::to_string(version) + ",\"whole\":false,\"hosts\":[" + hosts + "]}\\n"); }
+
+// Nothing is sent to a box that drains: the request waits in vain.
+const std::string kNothingGoesToBox = R"(
+    open c
+    send c job A price 700
+    expect c HTTP/1.1 503
+    wait attempts_started 0
+    nobody box
+)";
+
+// ---- lists and watches ----
+
+class Crossings : public testing::TestWithParam<const char*> {};  // lists asked for, and pushed
+INSTANTIATE_TEST_SUITE_P(Lists, Crossings, testing::Values("ask", "push"), [](const auto& mode) { return std::string(mode.param); });
+Options mode(const char* name) { return with(std::string(R"({"registry_mode":")") + name + "\"}"); }
+
+TEST_P(Crossings, AnIndentedListIsTakenInPiecesOfOneByte) {
+  std::string text;
+  for (char c : std::string("{\n  \"seq\": 3,\n  \"note\": \"}{ \\\" ]\",\n  \"whole\": false,\n\n  \"hosts\": [\n    ") + kDraining + "\n  ]\n}\n")
+    text += chunk(c == '\n' ? "\\n" : c == ' ' ? "\\s" : c == '\\' ? "\\\\" : std::string(1, c));
+  play(text + "wait lists_received 3\nwait watches_broken 0\n" + kNothingGoesToBox, mode(GetParam()));
+}
+
+TEST_P(Crossings, SeveralListsInOnePieceAreTakenWithWhatStandsBetweenThem) {
+  play(chunk(R"({"seq":3,"whole":false,"hosts":[]}\n\n  {"seq":4,"whole":false,"hosts":[]}{"seq":5,"whole":false,\n"hosts":[)" + kDraining + R"(]}\n{"seq":6,)") +
+           "wait lists_received 5\n" + chunk(R"("whole":false,"hosts":[]})") + "wait lists_received 6\nwait watches_broken 0\n" + kNothingGoesToBox,
+       mode(GetParam()));
+}
+
+TEST_P(Crossings, AListThatDoesNotEndIsNoWatchThoughEmptyLinesFollow) {
+  play("clock\n" + chunk(R"({"seq":3,"whole":false,)") + R"(
+    alive disco
+    under 3
+    accept disco disco
+    expect disco since=2 HTTP
+  )", mode(GetParam()));
+}
+
+TEST_P(Crossings, WhatIsNoListEndsTheWatchAtOnce) {
+  for (const char* bad : {"nonsense\\n", "[]\\n", "{}\\n", R"({"seq":3,"whole":false,"hosts":[{"host":"box","health":"ready"}]}\n)"})
+    play("clock\n" + chunk(bad) + R"(
+      closed disco
+      under 3
+      accept disco disco
+      expect disco since=2 HTTP
+    )", mode(GetParam()));
+}
+
+// What the first watch misses counts as told 6 s after its last word.
+TEST_P(Crossings, AWatchThatFallsSilentTwiceIsHeardAgainInTime) {
+  for (const std::string& second : {std::string(), "send disco " + kHead + "\n"})
+    play(R"(
+      clock
+      accept disco disco
+      expect disco since=2 HTTP
+    )" + second + R"(
+      closed disco
+      accept disco disco
+      expect disco since=2 HTTP
+      send disco )" + kHead + "\n" + delta(3, kDraining) + R"(
+      wait lists_received 5
+      under 6
+    )" + kNothingGoesToBox, mode(GetParam()));
+}
+
+TEST_P(Crossings, AWatchSilentFromItsStartAndOneThatIsResetAreOpenedAnew) {
+  for (const char* how : {"reset", "close"})
+    play(std::string(how) + R"( disco
+      accept disco disco
+      expect disco since=2 HTTP
+      accept disco2nd disco
+      expect disco2nd since=2 HTTP
+      send disco2nd )" + kHead + "\n" + R"(
+      send disco2nd chunk {"seq":3,"whole":false,"hosts":[)" + kDraining + R"(]}
+      wait lists_received 5
+    )" + kNothingGoesToBox, mode(GetParam()));
+}
+
+TEST_P(Crossings, AVersionThatGoesBackBringsNoExecutorBack) {
+  const std::string ready = R"({"host":"box","dial":"127.0.0.1:9","site":"east","class":"fast","block":1,"health":"ready"})";
+  // of changes what has been overtaken is passed over
+  play(delta(5, kDraining) + delta(4, ready) + delta(6, "") + "wait lists_received 4\nwait watches_broken 0\n" + kNothingGoesToBox, mode(GetParam()));
+  // a whole list may be that of a discovery that counts anew: it is asked for all it has, and then believed
+  play(delta(5, kDraining) + chunk(R"({"seq":1,"whole":true,"hosts":[)" + ready + "]}\\n") + R"(
+      closed disco
+      accept disco disco
+      expect disco GET /discovery/hosts?follow=1 HTTP
+  )" + kNothingGoesToBox + "send disco " + kHead + R"(
+      list whole box:ready
+      open d
+      send d job B price 5000
+      accept b box
+      expect b X-Trace-Id: B
+  )", mode(GetParam()));
+}
+
+// What the agent has counts as told from the moment of its return.
+TEST(Crossing, AnAgentThatIsBackIsAskedAtOnceHoweverLongItWasAway) {
+  play(R"(
+    close disco
+    stop disco
+    wait watches_broken 9+
+    listen disco
+    clock
+    accept disco disco
+    under 0.6
+  )", mode("push"));
+}
+
+TEST(Crossing, HalfAListIsNotContinuedByTheDiscoveryThatSighupNames) {
+  for (const char* order : {"signal HUP\nwait reloads 1\n", ""})
+    play(chunk(R"({"seq":3,"whole":false,"hosts":[)") + "config disco2\n" + order + (*order ? "" : "close disco\nsignal HUP\nwait reloads 1\n") + R"(
+      accept disco disco2
+      expect disco since=2 HTTP
+      send disco )" + kHead + "\n" + delta(1, kDraining) + "wait lists_received 3+\n" + kNothingGoesToBox);
+}
+
+// ---- a drain, and an attempt whose connection comes up late ----
+
+TEST(Crossing, NothingIsWrittenToAnExecutorThatBeganToDrainBeforeItsConnectionCameUp) {
+  play(R"(
+    full box
+    open c
+    send c job A price 15000
+    wait attempts_started 1
+    list box:draining
+    wait lists_received 3
+    free box
+    accept late box
+    closed late
+    absent late POST
+    list box2:ready
+    accept b box2
+    expect b X-Trace-Id: A
+    expect b body
+    wait attempts_never_connected 1
+    wait attempts_reset 0
+  )", with(R"({"limits":{"connect_timeout_ms":8000}})"));
+}
+
+TEST(Crossing, AConnectionThatComesUpBeforeTheDrainCarriesItsRequest) {
+  play(R"(
+    full box
+    open c
+    send c job A price 15000
+    wait attempts_started 1
+    free box
+    accept b box
+    expect b X-Trace-Id: A
+    expect b body
+    list box:draining
+    send b ok 202
+    news A box done {"result":"drained"}
+    expect c drained
+  )", with(R"({"limits":{"connect_timeout_ms":8000}})"));
+}
+
+// ---- clients that leave ----
+
+// None of those that left goes to the box when it comes; the one that stayed does.
+const std::string kOnlyB = R"(
+    list box:ready
+    open d
+    send d job B price 5000
+    accept b box
+    expect b X-Trace-Id: B
+    expect b body
+    wait attempts_started 1
+    nobody box
+)";
+const std::string kHeld = "list box:draining\nwait lists_received 3\nopen c\nsend c job A price 15000\nwait requests_taken 1\n";
+
+TEST(Crossing, WhoLeavesWhileItsRequestIsHeldIsNotSentOn) {
+  for (const char* how : {"close c\n", "reset c\n", "fill c 4000 GET /up HTTP/1.1\\r\\n\\r\\n\nclose c\n", "fill c 4000 GET /up HTTP/1.1\\r\\n\\r\\n\nreset c\n"})
+    play(kHeld + how + "wait clients_gone 1\n" + kOnlyB);
+}
+
+TEST(Crossing, WhoLeavesAfterSighupOrSigtermIsNotSentOn) {
+  play(kHeld + "signal HUP\nwait reloads 1\nclose c\nwait clients_gone 1\n" + kOnlyB);
+  play(kHeld + "signal TERM\nwait drain_stage 1\nclose c\nwait clients_gone 1\nlist box:ready\nexit 0\nnobody box\n");
+}
+
+TEST(Crossing, WhoLeavesBetweenTwoAttemptsIsNotSentOnAgain) {
+  play(R"(
+    open c
+    send c job A price 15000
+    accept b box
+    expect b body
+    list box:draining
+    wait lists_received 3
+    send b ok 503 X-Never-Ran: 1\r\nConnection: close\r\n
+    wait attempts_turned_away 1
+    close c
+    wait clients_gone 1
+    list box:ready
+    open d
+    send d job B price 5000
+    accept b2 box
+    expect b2 X-Trace-Id: B
+    wait attempts_started 2
+  )");
+}
+
+// Also where the settings bar calling attempts off: nothing has been asked of the executor yet.
+TEST(Crossing, WhoLeavesWhileAConnectionComesUpIsNotSentOn) {
+  for (const char* cancel : {"true", "false"})
+    play(R"(
+      full box
+      open c
+      send c job A price 15000
+      wait attempts_started 1
+      close c
+      wait clients_gone 1
+      wait attempts_cancelled 1
+      free box
+      open d
+      send d job B price 5000
+      accept b box
+      expect b X-Trace-Id: B
+      nobody box
+    )", with(std::string(R"({"limits":{"connect_timeout_ms":8000,"cancel":)") + cancel + "}}"));
+}
+
+TEST(Crossing, WhereAttemptsAreNotCalledOffOneThatIsOutIsLeftAlone) {
+  play(R"(
+    open c
+    send c job A price 15000
+    accept b box
+    expect b body
+    send b ok 202
+    news A box started
+    close c
+    wait clients_gone 1
+    news A box done {"result":"for nobody"}
+    wait attempts_served 1
+    absent b DELETE
+  )", with(R"({"limits":{"cancel":false}})"));
+}
+
+// The loop is held up; then the executor's return and the clients' going are in one turn, whichever came first.
+TEST(Crossing, AHundredWhoLeaveInOneTurnAreNotSentOn) {
+  for (const char* how : {"close", "reset"})
+    for (bool first : {true, false}) {
+      std::string leave = std::string("leave x 100 ") + how + "\n", back = "list box:ready\n";
+      play("list box:draining\nwait lists_received 3\ncrowd x 100 price 15000\nwait requests_taken 100\nsignal STOP\n" +
+           (first ? leave + back : back + leave) + R"(
+        signal CONT
+        wait clients_gone 100
+        wait lists_received 4
+        open d
+        send d job B price 5000
+        accept b box
+        expect b X-Trace-Id: B
+        wait attempts_started 1
+        nobody box
+      )");
+    }
+}
+
+TEST(Crossing, WhoHasLeftBeforeItsRequestIsReadIsNotSentOn) {
+  for (const char* how : {"close", "reset"})
+    play(std::string(R"(
+      open c
+      send c GET /up HTTP/1.1\r\n\r\n
+      expect c up
+      signal STOP
+      send c job A price 15000
+      )") + how + R"( c
+      signal CONT
+      open d
+      send d job B price 5000
+      accept b box
+      expect b X-Trace-Id: B
+      wait attempts_started 1
+      nobody box
+    )");
+}
+
+// ---- what executors answer ----
+
+TEST(Crossing, AnAnswerThatDoesNotEndEndsItsAttempt) {
+  play(R"(
+    open c
+    send c job A price 15000
+    accept b box
+    expect b body
+    send b HTTP/1.1 500 no\r\nContent-Length: 9\r\n\r\nabc
+    accept b2 box
+    expect b2 X-Trace-Id: A
+    expect b2 body
+    send b2 HTTP/1.1 202 yes\r\nTransfer-Encoding: chunked\r\n\r\n
+    closed b2
+    news A box done {"result":"second"}
+    expect c second
+    wait attempts_reset 1
+  )");
+}
+
+TEST(Crossing, HalfAnAnswerProvesNotThatWorkNeverRan) {
+  for (const char* end : {"", "close b\n", "reset b\n"})
+    play(std::string(R"(
+      open c
+      send c job A sale 15000
+      accept b box
+      expect b body
+      send b HTTP/1.1 503 no\r\nX-Never-Ran: 1\r\nContent-Length: 9\r\n\r\nabc
+      )") + end + R"(
+      expect c HTTP/1.1 502
+      wait attempts_started 1
+      wait attempts_turned_away 0
+    )");
+}
+
+// A call-back names no attempt and comes again until it is answered.
+TEST(Crossing, AnEndToldOfTheAttemptBeforeAtTheSameExecutorEndsOnlyWhatIsCalledOff) {
+  for (const char* cls : {"sale", "price"}) {
+    bool unsafe = std::string(cls) == "sale";
+    play(std::string("open c\nsend c job A ") + cls + R"( 15000
+      accept b box
+      expect b body
+      send b ok 202
+      news A box started
+      news A box returned
+      )" + (unsafe ? "accept b box\n" : "") + R"(
+      expect b X-Trace-Id: A
+      expect b body
+      send b ok 202
+      news A box started
+      news A box returned
+      expect b DELETE /jobs/A
+      wait attempts_started 2
+      send b ok 200
+      )" + (unsafe ? "expect c HTTP/1.1 502\nwait attempts_started 2\n" : "wait attempts_started 3\n"));
+  }
+}
+
+TEST(Crossing, AnEndToldOfAnAttemptThatIsTheFirstThereIsBelievedAtOnce) {
+  play(R"(
+    open c
+    send c job A sale 15000
+    accept b box
+    expect b body
+    send b ok 503 X-Never-Ran: 1\r\n
+    accept b2 box
+    expect b2 body
+    send b2 ok 202
+    news A box returned
+    accept b3 box
+    expect b3 X-Trace-Id: A
+    wait attempts_turned_away 2
+  )");
+}
+
+// On a connection that was used just before, the answer may be the second one to that request.
+TEST(Crossing, ASecondAnswerDoesNotEndTheNextRequestBeforeThatIsCalledOff) {
+  for (const char* second : {"ok 503 X-Never-Ran: 1\\r\\n", "ok 500"})
+    play(std::string(R"(
+      open c
+      send c job A price 15000
+      accept b box
+      expect b body
+      send b ok 202
+      news A box started
+      news A box done {"result":"first"}
+      expect c first
+      send c job B price 15000
+      expect b X-Trace-Id: B
+      expect b body
+      send b )") + second + R"(
+      accept b2 box
+      expect b2 DELETE /jobs/B
+      wait attempts_started 2
+      wait answers_doubted 1
+      send b2 ok 200
+      expect b2 POST
+      expect b2 X-Trace-Id: B
+      wait attempts_started 3
+    )");
+}
+
+TEST(Crossing, ASecondAnswerThatComesBetweenTwoRequestsEndsItsConnection) {
+  play(R"(
+    open c
+    send c job A price 15000
+    accept b box
+    expect b body
+    send b ok 202
+    news A box started
+    send b ok 500
+    closed b
+    news A box done {"result":"first"}
+    expect c first
+    send c job B price 15000
+    accept b2 box
+    expect b2 X-Trace-Id: B
+  )");
+}
+
+// ---- the end ----
+
+// With deadlines under 3 s SIGKILL comes at the longest of them and 0.7 s.
+TEST(Crossing, WhatComesLateIsAnsweredBeforeTheKillThatFollowsFromTheDeadlines) {
+  const std::string classes = R"({"classes":[
+    {"name":"price","effect":"safe","target_ms":500.0,"give_up_ms":900.0},
+    {"name":"hold","effect":"keyed","key_scope":"zone","dedup_window_ms":5000.0,"target_ms":500.0,"give_up_ms":1500.0},
+    {"name":"sale","effect":"unsafe","target_ms":500.0,"give_up_ms":1100.0}]})";
+  play(R"(
+    open late
+    send late GET /up HTTP/1.1\r\n\r\n
+    expect late up
+    signal TERM
+    clock
+    wait drain_stage 2
+    send late job C price 900000
+    accept b box
+    expect b body
+    send b ok 202
+    expect late HTTP/1.1 503
+    under 2.2
+  )", with(classes));
+}
+
+TEST(Crossing, SigtermTwiceAndSighupAfterItChangeNothing) {
+  play(R"(
+    open c
+    send c job A price 15000
+    accept b box
+    expect b body
+    send b ok 202
+    signal TERM
+    wait drain_stage 1
+    signal TERM
+    config disco2
+    signal HUP
+    wait reloads 1
+    accept disco disco2
+    news A box done {"result":"still"}
+    expect c still
+    exit 0
+  )");
+}
+
+// What is in the kernel when the node looks, and has not been read: the Server by itself, so that the moment is the test's.
+class Echo final : public Front {
+ public:
+  std::unique_ptr<Exchange> on_request(InboundConnection& connection, HttpRequest request) override {
+    connection.respond(200, "for " + request.head.target);
+    ++served;
+    return nullptr;
+  }
+  int served = 0;
+};
+
+struct End {
+  net::EventLoop loop;
+  Counters counters;
+  Echo front;
+  Server server{loop, front, 64, counters};
+  net::Address to;
+  End() {
+    server.listen(*net::parse_address("127.0.0.1:0"));
+    to = server.address();
+  }
+
+  int client() {
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    return connect(fd, reinterpret_cast<const sockaddr*>(&to.in), sizeof to.in) == 0 ? fd : -1;
+  }
+  static void ask(int fd) {
+    std::string text = "GET /x HTTP/1.1\r\n\r\n";
+    ASSERT_EQ(send(fd, text.data(), text.size(), MSG_NOSIGNAL), static_cast<ssize_t>(text.size()));
+  }
+  void run_until(const std::function<bool()>& done) {
+    auto late = loop.now() + std::chrono::seconds(10);
+    std::function<void()> look = [&] { done() || loop.now() > late ? loop.stop() : void(loop.at(loop.now() + std::chrono::milliseconds(1), look)); };
+    look();
+    loop.run();
+    ASSERT_TRUE(done());
+  }
+  static std::string answer(int fd) {
+    std::string all;
+    char piece[512];
+    for (ssize_t got; (got = recv(fd, piece, sizeof piece, 0)) > 0;) all.append(piece, static_cast<std::size_t>(got));
+    return all;
+  }
+};
+
+TEST(Crossing, WhatTheKernelHasAcceptedIsServedBeforeTheEndAndWhoComesLaterIsToldSo) {
+  End end;
+  end.server.drain();
+  int queued = end.client();
+  ASSERT_GE(queued, 0);
+  End::ask(queued);
+  end.server.take_the_last();
+  ASSERT_EQ(end.server.connections(), 1u);
+  EXPECT_LT(end.client(), 0) << "nobody serves whoever comes now";
+  end.run_until([&] { return end.front.served == 1; });
+  EXPECT_NE(End::answer(queued).find("for /x"), std::string::npos);
+  close(queued);
+}
+
+TEST(Crossing, AnIdleConnectionWithARequestThatIsNotReadYetIsNotClosed) {
+  End end;
+  int fd = end.client();
+  End::ask(fd);
+  end.run_until([&] { return end.front.served == 1; });
+  end.server.drain();
+  End::ask(fd);  // it is in the kernel; the loop has not seen it
+  end.server.close_idle();
+  ASSERT_EQ(end.server.connections(), 1u);
+  end.run_until([&] { return end.front.served == 2; });
+  end.server.close_idle();  // the other order: nothing is unread, and it is closed
+  EXPECT_EQ(end.server.connections(), 0u);
+  std::string all = End::answer(fd);
+  EXPECT_NE(all.rfind("Connection: close"), std::string::npos);
+  close(fd);
+}
+
+// ---- customers and settings ----
+
+TEST(Crossing, ACustomerThatTheSettingsDoNotNameUsesUpNobodysShare) {
+  Names names{.classes = {"price"}, .tenants = {"river street", "oak"}, .zones = {}, .kinds = {}};
+  auto tenant = [&](const char* customer) {
+    HttpRequest request;
+    request.head.method = "POST";
+    request.head.target = "/price";
+    request.head.headers = {{"X-Trace-Id", "A"}, {"X-Expires-In-Ms", "500"}};
+    if (*customer) request.head.headers.emplace_back("X-Customer", customer);
+    return std::get<Job>(decode_job(std::move(request), names)).tenant;
+  };
+  EXPECT_EQ(tenant("river street"), 0);
+  EXPECT_EQ(tenant("oak"), 1);
+  EXPECT_EQ(tenant("stranger"), -1);
+  EXPECT_EQ(tenant("River Street"), -1);
+  EXPECT_EQ(tenant(""), -1);
+}
+
+// Where customers change places at SIGHUP, each keeps its number, and its own share comes with it.
+TEST(Crossing, CustomersThatComeGoAndChangePlacesKeepTheirOwnShares) {
+  auto config = [](const std::string& tenants) {
+    return decode_config(R"({"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","settings":{"balancers":1,"rank":0,"locality":0,"dcs":["e"],"kinds":["k"],
+      "classes":[{"name":"p","effect":"safe","target_ms":5.0}],"granularity_ms":4.0,"registry_mode":"ask","limits":{"try_limit":3},
+      "safety":{"cold_from":0.14,"cold_ms":23000.0,"drain_grace_ms":500.0,"fall_ms":2000.0,"fall_multiple":4.0,"grace_to_answer_ms":16.0},
+      "tenants":)" + tenants + "}}");
+  };
+  auto none = [](int) { return false; };
+  Config now = config(R"([{"name":"a","quota_per_s":1.0},{"name":"b","quota_per_s":2.0},{"name":"c","quota_per_s":3.0}])");
+  Config next = retune(now, config(R"([{"name":"d","quota_per_s":40.0},{"name":"c","quota_per_s":30.0},{"name":"a","quota_per_s":10.0}])"), none).config;
+  EXPECT_EQ(next.names.tenants, (std::vector<std::string>{"a", "b", "c", "d"}));
+  EXPECT_EQ(next.settings.tenant_quota, (std::vector<double>{10, 0, 30, 40}));
+  Config back = retune(next, config(R"([{"name":"b","quota_per_s":7.0},{"name":"a","quota_per_s":1.0}])"), none).config;
+  EXPECT_EQ(back.names.tenants, (std::vector<std::string>{"a", "b", "c", "d"}));
+  EXPECT_EQ(back.settings.tenant_quota, (std::vector<double>{1, 7, 0, 0}));
+}
+
+TEST(Crossing, NamesAndKeysDoNotBecomeOtherSettings) {
+  std::string lines = flatten_settings(R"({"balancers":2,"x\nbalancers":9,"y=1\nbalancers":9,"a.b":1,"tenants":[{"name":"t=1\nbalancers=9\r","quota_per_s":1.0}]})");
+  std::size_t at = 0, count = 0;
+  for (std::istringstream in(lines); std::getline(in, lines); ++at) count += lines.starts_with("balancers=");
+  EXPECT_EQ(count, 1u);
+}
+
+TEST(Crossing, TheLongestDeadlineIsThatOfAllClassesOrUnknown) {
+  auto longest = [](const std::string& classes) {
+    return decode_config(R"({"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","settings":{"balancers":1,"rank":0,"locality":0,"dcs":["e"],"kinds":["k"],
+      "granularity_ms":4.0,"registry_mode":"ask","limits":{"try_limit":3},
+      "safety":{"cold_from":0.14,"cold_ms":23000.0,"drain_grace_ms":500.0,"fall_ms":2000.0,"fall_multiple":4.0,"grace_to_answer_ms":16.0},
+      "classes":)" + classes + "}}").longest_deadline;
+  };
+  EXPECT_EQ(longest(R"([{"name":"p","effect":"safe","target_ms":5.0,"give_up_ms":900.0},{"name":"q","effect":"safe","target_ms":5.0,"give_up_ms":2800.0}])"), std::chrono::milliseconds(2800));
+  EXPECT_EQ(longest(R"([{"name":"p","effect":"safe","target_ms":5.0,"give_up_ms":900.0},{"name":"q","effect":"safe","target_ms":5.0}])"), Duration::max());
+}
+
+}  // namespace
+}  // namespace keelflow::test
--- a/tests/node/parts_test.cpp
+++ b/tests/node/parts_test.cpp
@@ -182,8 +182,9 @@
 
 // The Engine with a clock of the test's own; no endpoint is ever there.
 struct Idle final : EndpointPort, DestinationPort, TimerPort, Asker {
-  void start(AttemptRef, WorkerId, const Job&, TimePoint) override {}
+  void start(AttemptRef, WorkerId, const Job&, TimePoint, bool) override {}
   void give_up(AttemptRef) override {}
+  void give_up_unsent(AttemptRef) override {}
   void probe(WorkerId) override {}
   void subscribe() override {}
   TimePoint now() const override { return time; }
--- a/tests/node/platform_test.cpp
+++ b/tests/node/platform_test.cpp
@@ -573,9 +573,9 @@
 TEST(Discovery, PiecesOfLinesChangesAndANewAddressAreTaken) {
   play(R"(
     send disco 1\r\n\n\r\n
-    send disco 8\r\n{"seq":1
+    send disco 8\r\n{ "seq":
     send disco \r\n
-    send disco 19\r\n0,"whole":false,"hosts":[\r\n
+    send disco 19\r\n2,"whole":false,"hosts":[\r\n
     send disco 3\r\n]}\n\r\n
     wait lists_received 3
     # the same box at another address: work goes there, and no old connection is used for it
--- a/tests/node/scenario.cpp
+++ b/tests/node/scenario.cpp
@@ -75,6 +75,8 @@
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     sockaddr_in address = loopback(0);
     socklen_t size = sizeof address;
+    int on = 1;
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);  // for one that listens again
     if (bind(fd, reinterpret_cast<sockaddr*>(&address), size) != 0 || listen(fd, 64) != 0) throw std::runtime_error(place);
     getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
     listeners_[place] = fd;
@@ -139,7 +141,9 @@
       auto at = log_text_.find(words);
       auto end = at == std::string::npos ? at : log_text_.find('\n', at);
       if (end != std::string::npos) return std::stoi(log_text_.substr(log_text_.rfind(':', end) + 1));
-      if (!read_log(until)) break;
+      if (log_ended_) break;
+      read_log(std::min(until, Clock::now() + std::chrono::milliseconds(500)));
+      keep_watches();
     }
     throw std::runtime_error("the program did not start: " + log_text_);
   };
@@ -148,6 +152,11 @@
   if (!options.progress.empty()) progress_port_ = port_after("subsystem=progress event=listens");
 }
 
+// Discovery says an empty line now and then on each watch, or the process that has it would take it for dead.
+void Scenario::keep_watches() {
+  for (int fd : watches_) ::send(fd, "1\r\n\n\r\n", 6, MSG_NOSIGNAL | MSG_DONTWAIT);
+}
+
 Scenario::~Scenario() {
   for (auto& [name, line] : lines_)
     if (line.fd >= 0) close(line.fd);
@@ -190,6 +199,7 @@
   auto left = std::chrono::ceil<std::chrono::milliseconds>(until - Clock::now()).count();
   if (poll(&ready, 1, static_cast<int>(std::max<std::int64_t>(0, left))) <= 0) return false;
   ssize_t got = read(log_, piece, sizeof piece);
+  log_ended_ = got == 0;
   if (got > 0) log_text_.append(piece, static_cast<std::size_t>(got));
   return got > 0;
 }
@@ -354,6 +364,7 @@
     pollfd ready{listeners_.at(place), POLLIN, 0};
     ASSERT_EQ(poll(&ready, 1, static_cast<int>(std::chrono::milliseconds(kLimit).count())), 1) << "nobody connects";
     lines_[name] = {accept4(listeners_.at(place), nullptr, nullptr, SOCK_CLOEXEC), "", false};
+    if (place.starts_with("disco")) watches_.push_back(lines_[name].fd);
   } else if (verb == "send") {
     send(line(name), message(rest_of(in)));
   } else if (verb == "fill") {
@@ -381,6 +392,7 @@
   } else if (verb == "close" || verb == "reset") {
     linger now{verb == "reset", 0};
     setsockopt(line(name).fd, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+    std::erase(watches_, line(name).fd);
     close(line(name).fd);
     lines_.erase(name);
   } else if (verb == "news") {
@@ -409,11 +421,63 @@
       ASSERT_LT(Clock::now(), until) << name << " is " << have ;
       usleep(5000);
     }
+  } else if (verb == "clock") {
+    clock_ = Clock::now();
+  } else if (verb == "under") {
+    ASSERT_LT(std::chrono::duration<double>(Clock::now() - clock_).count(), std::stod(name));
+  } else if (verb == "alive") {
+    while (!line(name).ended) {
+      ASSERT_LT(Clock::now(), until) << "still open";
+      ::send(line(name).fd, "1\r\n\n\r\n", 6, MSG_NOSIGNAL);
+      receive(line(name), Clock::now() + std::chrono::milliseconds(100));
+    }
+  } else if (verb == "nobody") {
+    pollfd waiting{listeners_.at(name), POLLIN, 0};
+    ASSERT_EQ(poll(&waiting, 1, 0), 0) << "somebody connects";
+  } else if (verb == "listen") {
+    sockaddr_in address = loopback(ports_.at(name));
+    int on = 1, fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    ASSERT_EQ(bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address), 0) << strerror(errno);
+    ASSERT_EQ(::listen(fd, 64), 0);
+    listeners_[name] = fd;
+  } else if (verb == "full") {
+    ASSERT_EQ(::listen(listeners_.at(name), 0), 0);
+    sockaddr_in address = loopback(ports_.at(name));
+    for (bool up = true; up;) {
+      int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+      connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof address);
+      pollfd ready{fd, POLLOUT, 0};
+      up = poll(&ready, 1, 200) == 1;
+      if (up) fillers_.push_back(fd);
+      else close(fd);
+    }
+  } else if (verb == "free") {
+    for (int fd : fillers_) {
+      close(accept4(listeners_.at(name), nullptr, nullptr, SOCK_CLOEXEC));
+      close(fd);
+    }
+    fillers_.clear();
+    ASSERT_EQ(::listen(listeners_.at(name), 64), 0);
+  } else if (verb == "crowd") {
+    int count = 0;
+    std::string word;
+    in >> count;
+    std::getline(in >> std::ws, word);
+    for (int i = 0; i < count; ++i) {
+      act("open " + name + std::to_string(i));
+      act("send " + name + std::to_string(i) + " job " + name + std::to_string(i) + " " + word);
+    }
+  } else if (verb == "leave") {
+    int count = 0;
+    std::string how;
+    in >> count >> how;
+    for (int i = 0; i < count; ++i) act(how + " " + name + std::to_string(i));
   } else if (verb == "upgrade" || verb == "failed-upgrade") {
     if (elder_log_ >= 0) close(elder_log_);
     ancestors_.push_back(elder_);
     elder_ = std::exchange(program_, -1), elder_log_ = std::exchange(log_, -1), elder_port_ = operator_port_;
-    log_text_.clear(), log_at_ = 0;
+    log_text_.clear(), log_at_ = 0, log_ended_ = false;
     Options next = options_;
     if (verb == "upgrade") return start(next);
     auto config = nlohmann::json::parse(config_);
@@ -482,7 +546,9 @@
   } else if (verb == "stop") {
     close(std::exchange(listeners_.at(name), -1));
   } else if (verb == "signal") {
-    ASSERT_EQ(kill(program_, name == "TERM" ? SIGTERM : name == "HUP" ? SIGHUP : SIGUSR1), 0);
+    const std::map<std::string, int> numbers = {{"TERM", SIGTERM}, {"HUP", SIGHUP}, {"USR1", SIGUSR1}, {"STOP", SIGSTOP}, {"CONT", SIGCONT}};
+    ASSERT_EQ(kill(program_, numbers.at(name)), 0);
+    if (int status = 0; name == "STOP") waitpid(program_, &status, WUNTRACED);
   } else if (verb == "config") {
     auto config = nlohmann::json::parse(config_);
     if (ports_.contains(name)) config["discovery"] = "127.0.0.1:" + std::to_string(port(name));
--- a/tests/node/scenario.h
+++ b/tests/node/scenario.h
@@ -12,6 +12,13 @@
 //   news ID FROM STATE [JSON]   a call-back on a connection of its own, which must be answered 200
 //   list HOST:STATE[:PLACE[:AGE]] ...  discovery tells these entries, started AGE ms ago; "whole" before them: all there is
 //   wait COUNTER VALUE          wait until the counter has that value (or more, with VALUE+)
+//   clock | under SECONDS       time is taken | no more than that has passed since
+//   alive NAME                  discovery says empty lines there until the node ends it
+//   nobody PLACE                no connection waits there to be accepted
+//   listen PLACE                the stand-in listens again, after `stop`
+//   full PLACE | free PLACE     connections to it no longer come up | those that were waiting come up, as late as they are
+//   crowd NAME COUNT CLASS PATIENCE   so many clients, NAME0 and so on, each with a job of its name
+//   leave NAME COUNT close|reset      they go
 //   report ID FROM SHARE ...    a box at its usual pace: a progress call-back, a second, the next, ...
 //   stop PLACE                  the stand-in no longer listens
 //   upgrade                     with `inherit`: one more process of the node; what follows speaks to its operators' address
@@ -19,7 +26,7 @@
 //   elder SIGNAL | elder exit   a signal to the process before it (STOP, CONT, TERM, KILL); wait until it has ended, with 0
 //   elder-ask LINE => TEXT      a call on the elder's operators' address
 //   stale                       a socket that nobody listens on stands where the elder's would
-//   signal NAME                 TERM, HUP or USR1 to the program
+//   signal NAME                 TERM, HUP, USR1, STOP or CONT to the program
 //   config PLACE | config TEXT  the configuration file is replaced: discovery is at that place; or the file is TEXT
 //   settings JSON               the same, with its settings changed so (RFC 7396); from then on this is the usual one
 //   changed JSON                the whole file, changed so for once
@@ -88,6 +95,7 @@
   void command(int code, const std::string& arguments);
   void write_plugin(const std::string& name, const std::string& source);
   std::string of_plugin(const std::string& name, const std::string& key);
+  void keep_watches();
   bool read_log(Clock::time_point until);  // one piece
 
   Options options_;
@@ -102,6 +110,9 @@
   std::map<std::string, int> listeners_, ports_;
   std::map<std::string, Line> lines_;
   int version_ = 1;
+  std::vector<int> watches_, fillers_;
+  Clock::time_point clock_{};
+  bool log_ended_ = false;
 };
 
 }  // namespace keelflow::test
--- a/tests/node/traffic_test.cpp
+++ b/tests/node/traffic_test.cpp
@@ -91,7 +91,7 @@
     traffic_.list(std::move(told));
   }
 
-  void start(AttemptRef ref, WorkerId worker, const Job& job, TimePoint) override {
+  void start(AttemptRef ref, WorkerId worker, const Job& job, TimePoint, bool) override {
     note("send " + job.id + " to " + std::to_string(worker));
     Duration wait = std::chrono::microseconds(random_() % 20'000), run = std::chrono::microseconds(random_() % 200'000);
     unsigned what = random_() % 12;
@@ -101,6 +101,7 @@
       engine_.attempt_ended(ref, {.ending = ending, .reach = what == 2 ? Reach::fully_written : Reach::accepted});
     });
   }
+  void give_up_unsent(AttemptRef) override {}
   void give_up(AttemptRef ref) override {
     note("give up " + std::to_string(ref.request));
     at(now_ + 1ms, [this, ref] { engine_.attempt_ended(ref, {.ending = Ending::cancelled}); });
@@ -149,8 +150,9 @@
   int chosen = 0;
 
  private:
-  void start(AttemptRef, WorkerId, const Job& job, TimePoint) override { sent.push_back(job.id); }
+  void start(AttemptRef, WorkerId, const Job& job, TimePoint, bool) override { sent.push_back(job.id); }
   void give_up(AttemptRef) override {}
+  void give_up_unsent(AttemptRef) override {}
   void probe(WorkerId) override {}
   void subscribe() override {}
   TimePoint now() const override { return now_; }
