--- a/tests/node/crossings_test.cpp
+++ b/tests/node/crossings_test.cpp
@@ -232,6 +232,56 @@
   )");
 }
 
+TEST(Crossing, WhoLeavesWhileAPlugInLooksAtItsRequestOrHoldsItIsNotSentOn) {
+  for (const char* source : {"function on_request(r) while r.id == 'A' do end end", "function on_request(r) if r.id == 'A' then return {hold = 1} end end"}) {
+    Options options;
+    options.plugins = {{"p", source}};
+    options.progress = "(heartbeat 300ms)";
+    bool holds = std::string(source).find("hold") != std::string::npos;
+    play(std::string("until p ready true\nopen c\nsend c job A price 15000\n") + (holds ? "wait plugin_held 1\n" : "wait plugin_asked 1\n") + R"(
+      close c
+      wait clients_gone 1
+      open d
+      send d job B price 5000
+      accept b box
+      expect b X-Trace-Id: B
+      # what it was asked about counts as not answered now
+      host p KILL
+      wait plugin_hosts_ended 1
+      wait attempts_started 1
+      nobody box
+    )", options);
+  }
+}
+
+TEST(Crossing, WhoLeavesWhileItsLastByteIsHeldBackIsNotSentOnOrCalledOff) {
+  for (const char* how : {"close", "reset"})
+    play(std::string("open c\nsend c job A sale 15000\naccept b box\nexpect b POST\n") + how + R"( c
+      closed b
+      wait clients_gone 1
+      wait attempts_cancelled 1
+      wait attempts_started 1
+    )");
+}
+
+TEST(Crossing, WhoLeavesBeforeOrAfterItsRequestIsRoutedAgainIsNotSentOn) {
+  const std::string routed = "own (admin (socket \"admin\")) (pool none (host \"box2\")) (pool old) (route all (to (old 1)))\nsignal HUP\nwait reloads 1\n";
+  const std::string gone = "close c\nwait clients_gone 1\n";
+  Options options;
+  options.own = R"((pool new (host "box2")) (pool old) (admin (socket "admin")) (route all (to (new 50) (old 50))))";
+  for (bool before : {true, false})
+    play("list box:draining box2:draining\nopen c\nsend c job A price 15000\nwait requests_taken 1\n" + (before ? gone + routed : routed + gone) + R"(
+      list box:ready box2:ready
+      open d
+      send d job B price 5000
+      accept b box
+      expect b X-Trace-Id: B
+      wait attempts_started 1
+      nobody box
+      nobody box2
+    )", options);
+}
+
 // Also where the settings bar calling attempts off: nothing has been asked of the executor yet.
 TEST(Crossing, WhoLeavesWhileAConnectionComesUpIsNotSentOn) {
   for (const char* cancel : {"true", "false"})
