The lab does not hold its clients up while a node that it killed is taken down

At 10 s four nodes are killed; NodeProcess::kill waited in the lab's own loop until the kernel had taken each sanitised process down, and meanwhile no client was read. Change: it is waited for when its address is needed again, or at the end. No expectation is changed.

--- a/lab/nodes.cpp
+++ b/lab/nodes.cpp
@@ -106,7 +106,13 @@
   spawn();
 }
 
+// Its address must be free for its next life.
+void NodeProcess::bury() {
+  if (dying_ > 0) waitpid(std::exchange(dying_, -1), nullptr, 0);
+}
+
 void NodeProcess::spawn() {
+  bury();
   pid_ = fork();
   if (pid_ != 0) return;
   prctl(PR_SET_PDEATHSIG, SIGKILL);  // a run that breaks off leaves no node behind
@@ -119,6 +125,7 @@
 }
 
 NodeProcess::~NodeProcess() {
+  bury();
   if (pid_ <= 0 || ended()) return;
   ::kill(pid_, SIGKILL);
   waitpid(pid_, nullptr, 0);
@@ -138,8 +145,9 @@
 void NodeProcess::kill() {
   killed_ = true;
   if (pid_ <= 0) return;
+  bury();
   ::kill(pid_, SIGKILL);
-  waitpid(std::exchange(pid_, -1), nullptr, 0);  // so that its address is free for its next life
+  dying_ = std::exchange(pid_, -1);  // not waited for here: while the kernel takes its memory down, clients get no answers
 }
 
 void NodeProcess::stall(bool on) {
--- a/lab/nodes.h
+++ b/lab/nodes.h
@@ -53,13 +53,14 @@
 
  private:
   void spawn();
+  void bury();
 
   const Plan& plan_;
   std::string folder_, program_;
   int number_;
   net::Address address_;
   Neighbours neighbours_;
-  pid_t pid_ = -1;
+  pid_t pid_ = -1, dying_ = -1;
   int code_ = -1;
   bool told_ = false, killed_ = false;
 };
