After a pause a process reads the list before its timers run and before anything is sent

Cause: SIGCONT makes epoll_wait return EINTR, and EventLoop::run then ran the timers at once: the heartbeat timer called the watch silent and closed it with the list unread in its socket. Where events did come, they were handled in the order of arrival, requests before the list. Change: timers wait one turn where the loop comes late or was interrupted; the events of a turn are handled in the order clients that left, list, peers that left, others; a full turn reads the list in any case.

--- a/node/net/connection.cpp
+++ b/node/net/connection.cpp
@@ -28,11 +28,12 @@
     return false;
   }
   fd_ = fd;
+  if (preferred_) loop_.prefer(registration_);
   return true;
 }
 
 bool Connection::adopt(int fd) {
-  connected_ = true;
+  connected_ = adopted_ = true;
   return start(fd);
 }
 
@@ -107,6 +108,13 @@
   if (fd_ >= 0 && (events & EPOLLOUT)) flush();
 }
 
+EventLoop::Order Connection::order(std::uint32_t events) const {
+  bool gone = (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0;
+  if (preferred_) return EventLoop::Order::list;
+  if (!gone) return EventLoop::Order::other;
+  return adopted_ ? EventLoop::Order::client_gone : EventLoop::Order::peer_gone;
+}
+
 void Connection::on_turn() {
   waits_turn_ = false;
   read();
--- a/node/net/connection.h
+++ b/node/net/connection.h
@@ -28,6 +28,7 @@
 
   bool adopt(int fd);                // an accepted socket; false (errno set): refused, fd closed
   bool connect(const Address& to);   // false: no descriptor or refused at once (errno)
+  void prefer() { preferred_ = true; }  // before `connect`: see EventLoop
   void write(std::string_view bytes);
   void close();                      // no callback comes after this
   void reset();                      // as close, and the peer sees it broken
@@ -46,6 +47,7 @@
 
  private:
   void on_ready(std::uint32_t events) override;
+  EventLoop::Order order(std::uint32_t events) const override;
   void on_turn() override;
   bool start(int fd);
   void read();
@@ -57,7 +59,7 @@
   int fd_ = -1;
   std::uint64_t registration_ = 0;
   bool connected_ = false, paused_ = false, readable_ = false, close_when_flushed_ = false,
-       lingering_ = false, waits_turn_ = false, hung_up_ = false;
+       lingering_ = false, waits_turn_ = false, hung_up_ = false, preferred_ = false, adopted_ = false;
   std::string out_;
   std::size_t out_at_ = 0, dropped_ = 0;
   std::uint64_t written_ = 0;
--- a/node/net/event_loop.h
+++ b/node/net/event_loop.h
@@ -1,9 +1,13 @@
 // One thread, one epoll set, edge-triggered.
 #pragma once
 
+#include <sys/epoll.h>
+
+#include <array>
 #include <csignal>
 #include <functional>
 #include <memory>
+#include <span>
 #include <unordered_map>
 #include <vector>
 
@@ -13,9 +17,15 @@
 
 class EventLoop final : public TimerPort {
  public:
+  // In which the events of one turn are handled. A client that has gone is heard before anything could be done for it,
+  // and the list before anything could be sent by an older one.
+  enum class Order : std::uint8_t { client_gone, list, peer_gone, other };
+  static constexpr std::size_t kOrders = 4;
+
   class Handler {
    public:
     virtual ~Handler() = default;
+    virtual Order order(std::uint32_t) const { return Order::other; }  // of these events
     virtual void on_ready(std::uint32_t events) = 0;
     virtual void on_turn() {}  // asked for with `next_turn`
   };
@@ -29,7 +39,12 @@
   // The number returned, not the descriptor, names the registration: the kernel reuses descriptors, and an event
   // still queued for a closed one must not reach the new owner. Zero: the kernel refused (errno).
   std::uint64_t watch(int fd, Handler& handler);
-  void forget(std::uint64_t registration) { handlers_.erase(registration); }
+  void forget(std::uint64_t registration) {
+    handlers_.erase(registration);
+    std::erase(preferred_, registration);
+  }
+  // It brings the list: it is read in each turn that cannot bring all that is ready, too.
+  void prefer(std::uint64_t registration) { preferred_.push_back(registration); }
   bool watched(std::uint64_t registration) const { return handlers_.contains(registration); }
   // For a Handler that stops before EAGAIN, to give the others their turn: it goes on after them.
   void next_turn(std::uint64_t registration) { unfinished_.push_back(registration); }
@@ -49,12 +64,22 @@
   void stop() { stopped_ = true; }
 
  private:
+  struct Ready {
+    std::uint64_t registration;
+    std::uint32_t events;
+  };
+  void handle(std::span<const epoll_event> events);
+  void sort(std::span<const epoll_event> events);
+
+
   int epoll_;
   std::uint64_t last_ = 0;
   bool stopped_ = false;
+  bool skipped_ = false;  // the last turn ran no timers
   std::unordered_map<std::uint64_t, Handler*> handlers_;
   TimerQueue timers_;
-  std::vector<std::uint64_t> unfinished_;
+  std::vector<std::uint64_t> unfinished_, preferred_;
+  std::array<std::vector<Ready>, kOrders> ready_;  // in this turn
   std::vector<std::function<void()>> deferred_;
   std::vector<std::shared_ptr<void>> graveyard_;
 };
--- a/node/outbound/client_connection.h
+++ b/node/outbound/client_connection.h
@@ -27,6 +27,7 @@
       : connection_(loop, *this), parser_(net::HttpParser::Kind::response, {}) {}
 
   bool connect(const net::Address& to) { return dial_ = to, connection_.connect(to); }
+  void prefer() { connection_.prefer(); }  // before `connect`
   void attach(User* user) { user_ = user; }
   // The last `held_back` bytes of the request go out with `send_rest`.
   void send(const std::string& request, std::size_t held_back = 0);
