Pools turned on by SIGHUP are told their lists at the next SIGHUP too

Cause: Traffic::configure told the pools' lists only where it had split the first one or a list had come since (listed_). With pools turned on by one SIGHUP and changed by a second, a pool kept an endpoint that now belonged to another one, and never heard of its drain. AnEndpointChangesPoolsBySighup... passed only because its watch fell silent after 2.5 s, which counted as a list. Change: splitting the first list counts as one.

--- a/node/routes/traffic.cpp
+++ b/node/routes/traffic.cpp
@@ -98,7 +98,8 @@
       ++counters_.moves_undone;
       log::warning(Subsystem::moves, "move-undone", {{"move", gone->move.spec().name}, {"reason", "the configuration no longer has it"}});
     }
-  if (late || listed_) tell(std::move(*lists));  // before that there is nothing to tell, and the module would ask for it
+  listed_ = listed_ || late;
+  if (listed_) tell(std::move(*lists));  // before that there is nothing to tell
   for (auto& moving : moves_) look(*moving, now);
   // What waits in a pool that is no more would wait in vain.
   for (int pool = 0; pool < router_->numbers(); ++pool)
--- a/tests/node/moves_test.cpp
+++ b/tests/node/moves_test.cpp
@@ -205,6 +205,25 @@
   )", "");
 }
 
+// Each pool has its own list. One that loses an endpoint to another pool must hear of it, or it would not hear of its drain.
+TEST(Moves, AnEndpointThatLeftAPoolBySighupIsNotSentToByThatPoolOnceItDrains) {
+  play(R"(
+    own (pool first (host "box2")) (pool rest) (route all (to (first 1) (rest 0)))
+    signal HUP
+    wait reloads 1
+    own (pool first (host "box")) (pool rest) (route all (to (first 1) (rest 0)))
+    signal HUP
+    wait reloads 2
+    list box2:draining
+    wait lists_received 3
+    open c
+    send c job A price 5000 STAYS
+    accept b box
+    expect b X-Trace-Id: A
+    nobody box2
+  )", "");
+}
+
 TEST(Moves, ABadFileChangesNothingAndSaysWhere) {
   play(R"(
     cli 0 move start m
