One owner and one schedule for the freshness of the list; drains hold however calls to discovery fail

Root cause: a call to discovery held up the next one. Each waited up to 3 s for an answer (1 s pushed), a 503 that did not end included; after each failure the module waited up to 0.2 x ask_within_ms, and DestinationSet up to 1 s on top. Two failures in a row were past the 6 s after which a change counts as told, and the process went on with its old list. Change: logic/discovery/call_schedule decides alone, with one pace counted from the start of the call before; up to five calls are open and the first that brings a list is the watch. The node tells the module that lists are not its to ask for; DestinationPort and Subscribe leave the node. Also: one malformed entry no longer throws away its list; a first answer under the version asked for is asked again whole; an override reaches attempts that are still connecting. The scenarios' accept passes over calls to discovery that have been given up.

--- a/lab/boxes.h
+++ b/lab/boxes.h
@@ -10,6 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "drain_rule.h"
 #include "inbound/server.h"
 #include "network.h"
 #include "outbound/client_connection.h"
@@ -37,12 +38,14 @@
   // What groups have served of keyed work: key, then the result and when.
   std::unordered_map<std::string, std::unordered_map<std::string, std::pair<std::string, TimePoint>>> served;
   std::vector<net::Address> nodes;
+  DrainRule drains{};
   Duration progress{};                            // boxes report so often; zero: never
   std::unordered_map<std::string, double> saved;  // by key: work of cut off jobs that is done, in core milliseconds
   std::uint64_t reports = 0, resumed = 0;         // progress reports told, jobs that went on from a saved state
   // Where the network is not loopback alone: its places, by node; and what became of attempts there.
   Network* network = nullptr;
   std::vector<Network::Place> node_places{};
+  Network::Place discovery_place = 0;
   std::vector<std::string> node_zones{}, node_regions{};
   std::uint64_t attempts = 0, cross_zone = 0, cross_region = 0, fallen = 0;
   double cold_fullest = 0;  // work sent to a cold box within the window, over what makes it fall over: the most
@@ -72,6 +75,7 @@
   void crash();   // the process dies: connections break, jobs are lost
   void revive();  // it starts again, cold
   void drain(bool on);
+  void remove();  // it leaves the list and goes on running
   bool fallen() const { return fallen_; }
   std::uint64_t runs() const { return runs_; }
 
@@ -117,7 +121,7 @@
   std::vector<std::unique_ptr<Caller>> callers_;
   Health health_ = Health::ready;
   bool up_ = false, fallen_ = false;
-  TimePoint born_{}, drained_{};
+  TimePoint born_{};
   double born_unix_ms_ = 0;
   int running_ = 0;
   std::uint64_t runs_ = 0;
--- /dev/null
+++ b/lab/experiments/ci-drains.sexp
@@ -0,0 +1,25 @@
+; Five nodes, each with calls to discovery that fail in its own order, up to four in a row: after all watches fell silent,
+; after discovery was down, and after all watches were closed. Each time half of some boxes begin to drain, or leave the
+; list and go on running.
+(experiment ci-drains
+  (vary lists ask push)
+  (lists $lists) (ask-within 30s)
+  (nodes 5) (load 150) (lasts 32s)
+  (class price-check (effect safe) (target 400ms) (stretch 2) (run 20ms))
+  (boxes a (count 4) (cores 4))
+  (boxes b (count 4) (cores 4))
+  (boxes c (count 4) (cores 4))
+  (at 2s (calls n0 silent head refused) (calls n1 half reset silent) (calls n2 refused refused refused)
+         (calls n3 endless endless silent) (calls n4 cut slow) (silence all))
+  (at 3s (drain a 0.5))
+  (at 10s (ready a))
+  (at 11s (discovery down))
+  (at 15s (drain a 0.5) (remove b 0.5))
+  (at 15.5s (calls n0 silent head refused endless) (calls n1 half silent reset silent) (calls n2 refused refused refused refused)
+            (calls n3 endless silent head half) (calls n4 silent silent silent silent) (discovery up))
+  (at 23s (ready a))
+  (at 24s (calls n0 refused refused silent silent) (calls n1 silent half half) (calls n2 reset cut) (calls n3 endless endless endless)
+          (calls n4 head silent head silent) (unwatch all) (remove c 0.5))
+  (expect rules = 0)
+  (expect bad-ends = 0)
+  (expect in-time >= 0.8))
--- /dev/null
+++ b/lab/experiments/ci-restarts.sexp
@@ -0,0 +1,21 @@
+; Ten nodes, killed while they have clients and started again, some while discovery is down and one while its calls hang.
+; Executors begin to drain meanwhile. Nobody is left without an answer but by the kills, and each node is soon back.
+(experiment ci-restarts
+  (vary lists ask push)
+  (lists $lists) (ask-within 30s)
+  (nodes 10) (load 200) (lasts 20s)
+  (class price-check (effect safe) (target 400ms) (stretch 2) (run 20ms))
+  (boxes a (count 6) (cores 4))
+  (boxes b (count 6) (cores 4))
+  (at 2s (kill n0) (kill n1) (kill n2))
+  (at 2.3s (start n0) (start n1) (start n2))
+  (at 4s (discovery down))
+  (at 5s (drain a 0.5) (kill n3) (kill n4) (kill n5) (kill n6))
+  (at 5.3s (start n3) (start n4) (start n5) (start n6))
+  (at 8s (calls n3 silent silent) (calls n7 refused refused) (discovery up))
+  (at 15s (ready a) (stall n8 3s))
+  (at 16s (drain b 0.5))
+  (expect rules = 0)
+  (expect bad-ends = 0)
+  (expect ready-s <= 10)
+  (expect in-time >= 0.7))
--- a/lab/plan.cpp
+++ b/lab/plan.cpp
@@ -4,6 +4,7 @@
 
 #include "config/config.h"
 #include "config/form.h"
+#include "directory.h"
 
 namespace keelflow::lab {
 namespace {
@@ -101,7 +102,7 @@
   return z;
 }
 
-enum class Word : std::uint8_t { place, node, boxes, share, time, any };
+enum class Word : std::uint8_t { place, node, nodes, boxes, share, time, up_or_down, call_fault, any };
 struct Verb {
   std::vector<Word> wanted;
   std::size_t least;   // words; the others may be left out
@@ -118,6 +119,11 @@
       {"revive", {{any}, 1, "(revive BOXES)"}},
       {"drain", {{any, any}, 1, "(drain BOXES [SHARE])"}},
       {"ready", {{any}, 1, "(ready BOXES)"}},
+      {"remove", {{boxes, share}, 1, "(remove BOXES [SHARE])"}},
+      {"discovery", {{up_or_down}, 1, "(discovery up) or (discovery down)"}},
+      {"calls", {{nodes, call_fault, call_fault, call_fault, call_fault, call_fault}, 2, "(calls NODE or all FAULT ...), five faults at most"}},
+      {"silence", {{nodes}, 1, "(silence NODE or all)"}},
+      {"unwatch", {{nodes}, 1, "(unwatch NODE or all)"}},
       {"command", {{any}, 1, "(command \"VERB MOVE\")"}},
       {"reload", {{any, any}, 1, "(reload TIMES MS)"}},
       {"settings", {{any}, 1, "(settings \"TEXT\")"}},
@@ -166,6 +172,9 @@
   Duration span{};
   if (wanted == Word::place && !is_place(plan, word.atom)) return "a node (n0), a zone, a region, boxes:PREFIX, discovery, clients or all";
   if (wanted == Word::node && !is_node(plan, word.atom)) return "a node, as n0";
+  if (wanted == Word::nodes && word.atom != "all" && !is_node(plan, word.atom)) return "a node, as n0, or all";
+  if (wanted == Word::up_or_down && word.atom != "up" && word.atom != "down") return "up or down";
+  if (wanted == Word::call_fault && !call_fault(word.atom)) return "refused, endless, reset, silent, head, half, cut or slow";
   if (wanted == Word::boxes && !is_boxes(plan, word.atom)) return "the beginning of some boxes' names";
   if (wanted == Word::share && (!config::read_number(word, number) || number < 0 || number > 1)) return "a share from 0 to 1";
   if (wanted == Word::time && !config::read_span(word, span)) return "a time, as 250ms";
@@ -230,6 +239,10 @@
   form.span("progress", plan.progress, 0ms, 1h);
   form.number("cold-from", plan.cold_from, 0.01, 1, "a share");
   form.span("cold", plan.cold, 100ms, 1h);
+  std::string lists = "ask";
+  form.choice("lists", lists, {"ask", "push"});
+  plan.pushed = lists == "push";
+  form.span("ask-within", plan.ask_within, 1s, 1h);
   form.flag("peers", plan.peers);
   form.flag("relays", plan.relays);
   for (const Node* node : form.lists("zone")) plan.zones.push_back(zone_of(*node, file, faults));
--- a/lab/plan.h
+++ b/lab/plan.h
@@ -50,6 +50,8 @@
   Duration lasts = std::chrono::seconds(15), progress = std::chrono::seconds(1);
   double cold_from = 0.14;
   Duration cold = std::chrono::seconds(20);
+  bool pushed = false;   // lists; else nodes ask for them
+  Duration ask_within = std::chrono::seconds(10);
   bool peers = false;   // nodes may send one another datagrams
   bool relays = false;  // links go through the lab's network; always so with zones, peers, or a fault of links
   std::vector<ZonePlan> zones;  // in whose order the nodes are numbered; none: nodes know no zones
--- a/node/config/config.cpp
+++ b/node/config/config.cpp
@@ -154,6 +154,7 @@
     c.tick = from_ms(c.settings.tick_ms);
     read_peers(root, c);
     if (root.contains("known") && root.at("known").is_object()) c.known = decode_list(root.at("known"), c.names);
+    if (c.known.malformed > 0) throw ConfigError("config: 'known' has " + std::to_string(c.known.malformed) + " malformed entries in 'hosts'");
     return c;
   } catch (const json::exception& fault) {
     throw ConfigError(std::string("config: ") + fault.what());
--- a/node/core/engine.cpp
+++ b/node/core/engine.cpp
@@ -81,11 +81,6 @@
   return std::any_of(lanes_.begin(), lanes_.end(), [&](const auto& lane) { return lane->dispatcher.avoids(worker, now); });
 }
 
-void Engine::connect(EndpointPort& endpoints, DestinationPort& destinations) {
-  endpoints_ = &endpoints;
-  destinations_ = &destinations;
-}
-
 // Events are played one after another, each at its own time. An action may cause the next event before it
 // returns (a connection refused at once); that event waits here until the present one is dealt with.
 void Engine::post(int pool, reedlb::Event event) {
@@ -123,7 +118,6 @@
     ++counters_.probes_sent;
     return endpoints_->probe(a->worker);
   }
-  if (std::holds_alternative<reedlb::Subscribe>(action)) return destinations_->subscribe();
   if (const auto* a = std::get_if<reedlb::Tell>(&action); a && a->peer == settings_.rank) return twin_ ? twin_(a->bytes) : void();
   if (const auto* a = std::get_if<reedlb::Tell>(&action)) return peers_ ? peers_->tell(a->peer, a->bytes) : void();
   if (const auto* a = std::get_if<reedlb::Refuse>(&action)) {
--- a/node/core/engine.h
+++ b/node/core/engine.h
@@ -23,7 +23,7 @@
 
   Engine(const reedlb::Settings& settings, std::uint64_t seed, Limits limits, TimerPort& timers,
          const UnixClock& clock, Counters& counters);
-  void connect(EndpointPort& endpoints, DestinationPort& destinations);
+  void connect(EndpointPort& endpoints) { endpoints_ = &endpoints; }
   void peers(PeerPort* peers) { peers_ = peers; }  // null: what the module would tell them is dropped
   // Pools: each has a lane, a Dispatcher that sees its endpoints and its requests only. There is one from the start.
   void route(RoutePort* routes) { routes_ = routes; }
@@ -130,7 +130,6 @@
   const UnixClock& clock_;
   Counters& counters_;
   EndpointPort* endpoints_ = nullptr;
-  DestinationPort* destinations_ = nullptr;
   PeerPort* peers_ = nullptr;
   std::function<void(const std::string&)> twin_;
   std::unordered_map<RequestId, Request> requests_;
--- a/node/core/ports.h
+++ b/node/core/ports.h
@@ -125,12 +125,6 @@
   virtual void probe(WorkerId worker) = 0;
 };
 
-class DestinationPort {
- public:
-  virtual ~DestinationPort() = default;
-  virtual void subscribe() = 0;
-};
-
 // The other nodes of the tier, by rank. Messages may come late or never.
 class PeerPort {
  public:
--- a/node/discovery/host_list.cpp
+++ b/node/discovery/host_list.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
-#include <stdexcept>
 
 namespace keelflow {
 
@@ -23,27 +22,66 @@
   return hash;
 }
 
-HostList decode_list(const nlohmann::json& list, const Names& names) {
+namespace {
+
+using nlohmann::json;
+using reedlb::WorkerState;
+
+// Throws where the field has another type; a missing one is what it usually is.
+void decode_place(const json& item, const Names& names, reedlb::WorkerEntry& entry) {
+  entry.zone = Names::place(names.zones, item.value("site", ""));
+  entry.kind = Names::place(names.kinds, item.value("class", ""));
+  entry.cell = item.value("block", 0);
+  entry.nominal = item.value("share", 1.0);
+  entry.born = item.value("born_ms", 0.0);
+}
+
+WorkerState decode_state(const json& item) {
+  const std::string health = item.at("health").get<std::string>();
+  if (health == "ready") return WorkerState::ready;
+  return health == "draining" ? WorkerState::draining : WorkerState::gone;
+}
+
+// An endpoint that is not ready needs no address: what it has is known by its earlier entry.
+bool decode_dial(const json& item, Host& host) {
+  auto field = item.find("dial");
+  bool given = field != item.end() && field->is_string();
+  auto dial = given ? net::parse_address(field->get<std::string>()) : std::nullopt;
+  if (dial) host.dial = *dial;
+  return dial || host.entry.state != WorkerState::ready;
+}
+
+// False: it is malformed, and `host` is gone.
+bool decode_host(const json& item, const Names& names, Host& host) {
+  host.entry.worker = worker_id(host.name);
+  host.entry.state = WorkerState::gone;
+  try {
+    host.entry.state = decode_state(item);
+    decode_place(item, names, host.entry);
+    if (decode_dial(item, host)) return true;
+  } catch (const json::exception&) {
+  }
+  if (host.entry.state == WorkerState::ready) host.entry.state = WorkerState::gone;
+  return false;
+}
+
+}  // namespace
+
+HostList decode_list(const json& list, const Names& names) {
   HostList out;
   out.version = list.at("seq").get<std::uint64_t>();
   out.whole = list.at("whole").get<bool>();
-  for (const auto& item : list.at("hosts")) {
+  const json& hosts = list.at("hosts");
+  if (!hosts.is_array()) hosts.get<std::vector<json>>();  // throws
+  for (const json& item : hosts) {
+    bool named = item.is_object() && item.contains("host") && item["host"].is_string();
+    if (!named) {
+      ++out.malformed;
+      continue;
+    }
     Host host;
-    host.name = item.at("host").get<std::string>();
-    host.entry.worker = worker_id(host.name);
-    const std::string health = item.at("health").get<std::string>();
-    host.entry.state = health == "ready"      ? reedlb::WorkerState::ready
-                       : health == "draining" ? reedlb::WorkerState::draining
-                                              : reedlb::WorkerState::gone;
-    host.entry.zone = Names::place(names.zones, item.value("site", ""));
-    host.entry.kind = Names::place(names.kinds, item.value("class", ""));
-    host.entry.cell = item.value("block", 0);
-    host.entry.nominal = item.value("share", 1.0);
-    host.entry.born = item.value("born_ms", 0.0);
-    auto dial = net::parse_address(item.value("dial", ""));
-    if (!dial && host.entry.state != reedlb::WorkerState::gone)
-      throw std::runtime_error("host '" + host.name + "' has no address");
-    if (dial) host.dial = *dial;
+    host.name = item["host"].get<std::string>();
+    if (!decode_host(item, names, host)) ++out.malformed;
     out.hosts.push_back(std::move(host));
   }
   return out;
--- a/node/discovery/host_list.h
+++ b/node/discovery/host_list.h
@@ -30,9 +30,12 @@
   std::uint64_t version = 0;
   bool whole = false;
   std::vector<Host> hosts;
+  // Entries that could not be read. The others stand in `hosts`, and so does one whose host at least is named: as gone,
+  // since nothing is to be sent where it is not known what holds there.
+  std::size_t malformed = 0;
 };
 
-// Throws nlohmann::json::exception or std::runtime_error on what is no list.
+// Throws nlohmann::json::exception on what is no list at all.
 HostList decode_list(const nlohmann::json& list, const Names& names);
 
 // The module wants numbers, and the same ones at every node: they are a hash of the name.
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -57,6 +57,16 @@
   return {usable * 5 / 8, usable / 8, std::clamp(usable / 16, std::size_t{4}, std::size_t{24})};
 }
 
+// The list is this side's to keep fresh (DestinationSet): the module is told of it and never asks.
+reedlb::Settings for_module(reedlb::Settings settings) {
+  settings.ask_list = false;
+  return settings;
+}
+
+discovery::CallPolicy call_policy(const reedlb::Settings& settings) {
+  return {.pushed = !settings.ask_list, .processes = settings.dispatchers};
+}
+
 sigset_t signals() {
   sigset_t set;
   sigemptyset(&set);
@@ -68,10 +78,10 @@
  public:
   Node(NodeFiles files, Config config, config::Own own)
       : files_(std::move(files)), config_(std::move(config)), own_(std::move(own)), budget_(split(config_.sockets)),
-        engine_(config_.settings, config_.seed, {config_.most_held, config_.tick}, loop_, clock_, counters_),
+        engine_(for_module(config_.settings), config_.seed, {config_.most_held, config_.tick}, loop_, clock_, counters_),
         traffic_(loop_, clock_, engine_, {config_.names, config_.settings}, counters_),
         destinations_(loop_, config_.discovery, config_.names,
-                      [this](reedlb::WorkerList list) { take_list(std::move(list)); }, counters_),
+                      [this](reedlb::WorkerList list) { take_list(std::move(list)); }, counters_, config_.seed),
         pool_(loop_, config_.idle_limit * 6 / 10, budget_.idle_outbound, counters_),
         outbound_(loop_, engine_, destinations_, pool_, {config_.connect_timeout, config_.report_names}, counters_),
         peers_(loop_, config_.peers, config_.settings.rank,
@@ -87,7 +97,7 @@
 
   int run() {
     engine_.name_classes(config_.names.classes);
-    engine_.connect(outbound_, destinations_);
+    engine_.connect(outbound_);
     engine_.peers(&peers_);
     traffic_.connect(destinations_);
     traffic_.configure(own_.routes, own_.moves);
@@ -95,7 +105,8 @@
     server_.on_pressure = [this] { return pool_.free_one(); };
     destinations_.on_watching = [this] { watching(); };
     destinations_.known(config_.known);
-    destinations_.pushed(!config_.settings.ask_list);
+    destinations_.on_pressure = server_.on_pressure;
+    destinations_.start(call_policy(config_.settings));
     signals_.open();
     if (config_.admin) open_operators();
     front_.pass_news = [this](const std::string& body) { return !handover_ || handover_->pass_news(body); };
@@ -311,6 +322,7 @@
 
   void lay_over(const std::string& host, bool out) {
     WorkerId worker = worker_id(host);
+    destinations_.disable(worker, out);
     auto told = out ? by_hand_.out(worker, host) : by_hand_.back(worker);
     if (told) traffic_.list(std::move(*told));
     log::info(Subsystem::admin, out ? "taken-out" : "called-back", {{"executor", host}});
@@ -385,12 +397,12 @@
   void take_over(Retuned next) {
     config_ = std::move(next.config);
     engine_.name_classes(config_.names.classes);
-    engine_.retune(config_.settings, std::move(next.from), {config_.most_held, config_.tick});
+    engine_.retune(for_module(config_.settings), std::move(next.from), {config_.most_held, config_.tick});
     outbound_.retune({config_.connect_timeout, config_.report_names});
     pool_.keep(config_.idle_limit * 6 / 10);
     destinations_.names(config_.names);
+    destinations_.change(call_policy(config_.settings));
     destinations_.move(config_.discovery);
-    destinations_.pushed(!config_.settings.ask_list);
   }
 
   // Nothing is turned away. At first all goes on as before; what comes later has only until the last answer. Then
--- a/node/outbound/outbound_call.cpp
+++ b/node/outbound/outbound_call.cpp
@@ -51,7 +51,7 @@
   // It may have come up late: from a drain that was told meanwhile on, or the end of the window, not even a first byte
   // goes there.
   const Destination* still = owner_.destinations_.find(worker_);
-  if (!still || !still->wants || still->dial != dial_ || owner_.loop_.now() > terms_.write_by) return on_broken();
+  if (!still || !still->accepts_new_work() || still->dial != dial_ || owner_.loop_.now() > terms_.write_by) return on_broken();
   state_ = State::asked;
   auto left = std::chrono::floor<std::chrono::milliseconds>(terms_.until - owner_.loop_.now()).count();
   const Payload& p = *payload_;
--- /dev/null
+++ b/tests/logic/call_schedule_test.cpp
@@ -0,0 +1,163 @@
+// The schedule of calls to discovery, in virtual time: however calls fail, the list is known before the deadline.
+#include "discovery/call_schedule.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <optional>
+#include <random>
+#include <vector>
+
+namespace keelflow::discovery {
+namespace {
+
+using namespace std::chrono_literals;
+
+enum class Fault { refused, refused_late, reset, silent };
+constexpr Fault kFaults[] = {Fault::refused, Fault::refused_late, Fault::reset, Fault::silent};
+constexpr Duration kAnswer = 300ms;  // of a call that does not fail
+
+// How long a call lasts that fails so; empty: it never ends by itself.
+std::optional<Duration> lasts(Fault fault) {
+  if (fault == Fault::refused) return 1ms;
+  if (fault == Fault::reset) return 20ms;
+  if (fault == Fault::refused_late) return 1000ms;
+  return std::nullopt;
+}
+
+// One process with its calls, which fail in turn as `faults` say; the first one after those brings the list.
+class Caller {
+ public:
+  Caller(const CallPolicy& policy, unsigned seed) : schedule_(policy), random_(seed) {}
+
+  CallSchedule& schedule() { return schedule_; }
+  double draw() { return std::uniform_real_distribution<double>()(random_); }
+  void faults(std::vector<Fault> faults) { faults_ = std::move(faults), next_ = 0; }
+  std::size_t began() const { return began_; }
+
+  // Plays until the list has come, or until `end`.
+  std::optional<TimePoint> play(TimePoint now, TimePoint end) {
+    for (;;) {
+      auto call = schedule_.next_call(open_.size());
+      auto ends = std::min_element(open_.begin(), open_.end(), [](const Call& a, const Call& b) { return a.ends < b.ends; });
+      TimePoint next = std::min(call ? std::max(*call, now) : TimePoint::max(), ends == open_.end() ? TimePoint::max() : ends->ends);
+      if (next > end) return std::nullopt;
+      now = next;
+      if (ends != open_.end() && ends->ends == now) {
+        if (ends->good) return now;
+        open_.erase(ends);
+      } else {
+        begin(now);
+      }
+    }
+  }
+
+ private:
+  struct Call {
+    TimePoint ends;
+    bool good;
+  };
+
+  void begin(TimePoint now) {
+    if (open_.size() >= schedule_.most_calls()) open_.erase(open_.begin());
+    schedule_.call_began(now, draw());
+    ++began_;
+    bool good = next_ >= faults_.size();
+    std::optional<Duration> span = good ? kAnswer : lasts(faults_[next_]);
+    ++next_;
+    open_.push_back({span ? now + *span : TimePoint::max(), good});
+  }
+
+  CallSchedule schedule_;
+  std::minstd_rand random_;
+  std::vector<Fault> faults_;
+  std::size_t next_ = 0, began_ = 0;
+  std::vector<Call> open_;
+};
+
+std::vector<Fault> drawn(std::mt19937& random, std::size_t count) {
+  std::vector<Fault> faults;
+  for (std::size_t i = 0; i < count; ++i) faults.push_back(kFaults[random() % std::size(kFaults)]);
+  return faults;
+}
+
+class CallScheduleTest : public testing::TestWithParam<bool> {};  // lists asked for, and pushed
+INSTANTIATE_TEST_SUITE_P(Lists, CallScheduleTest, testing::Bool(), [](const auto& mode) { return mode.param ? "push" : "ask"; });
+
+TEST_P(CallScheduleTest, AWatchThatFallsSilentIsReplacedInTimeHoweverFurtherCallsFail) {
+  std::mt19937 random(11);
+  for (int run = 0; run < 4000; ++run) {
+    Caller caller({.pushed = GetParam(), .processes = 1 + run % 30}, random());
+    TimePoint silent{1h};
+    caller.faults(drawn(random, random() % kFailuresInARow));  // the watch was the first of them
+    caller.schedule().watch_lost(silent + kHeartbeatTimeout, caller.draw());
+    auto heard = caller.play(silent, silent + 1min);
+    ASSERT_TRUE(heard) << run;
+    ASSERT_LE(*heard - silent, kListDeadline) << run;
+  }
+}
+
+TEST_P(CallScheduleTest, TheListIsKnownInTimeAfterAnOutageHoweverTheFirstCallsFail) {
+  std::mt19937 random(12);
+  for (int run = 0; run < 4000; ++run) {
+    Caller caller({.pushed = GetParam(), .processes = 1 + run % 30}, random());
+    TimePoint down{1h}, back = down + std::chrono::milliseconds(random() % 20000);
+    caller.faults(drawn(random, 1000));
+    caller.schedule().watch_lost(down, caller.draw());
+    ASSERT_FALSE(caller.play(down, back));
+    caller.faults(drawn(random, random() % (kFailuresInARow + 1)));
+    auto heard = caller.play(back, back + 1min);
+    ASSERT_TRUE(heard) << run;
+    ASSERT_LE(*heard - back, kListDeadline) << run;
+  }
+}
+
+// A watch that breaks whenever it is open is no reason to call at once each time.
+TEST_P(CallScheduleTest, AWatchThatBreaksAtOnceIsOpenedAnewAtTheUsualPace) {
+  Caller caller({.pushed = GetParam(), .processes = 5}, 3);
+  TimePoint now{1h}, end = now + 10s;
+  caller.schedule().watch_lost(now, 0);
+  int calls = 0;
+  for (; now < end; ++calls) {
+    now = std::max(now, *caller.schedule().next_call(0));
+    caller.schedule().call_began(now, caller.draw());
+    caller.schedule().watch_established();
+    caller.schedule().watch_lost(now, caller.draw());
+  }
+  EXPECT_LE(calls, GetParam() ? 101 : 14);
+}
+
+// Calls a second of all processes together while discovery is down: what one service has to bear.
+TEST(CallSchedule, ADiscoveryThatIsDownIsNotHammered) {
+  const std::pair<int, double> most_a_second[] = {{5, 8}, {30, 45}, {300, 180}};
+  for (auto [processes, most] : most_a_second) {
+    std::size_t calls = 0;
+    TimePoint down{1h};
+    for (int i = 0; i < processes; ++i) {
+      Caller caller({.pushed = false, .processes = processes}, static_cast<unsigned>(i));
+      caller.faults(std::vector<Fault>(1000, Fault::refused_late));
+      caller.schedule().watch_lost(down, caller.draw());
+      caller.play(down, down + 20s);
+      calls += caller.began();
+    }
+    EXPECT_LE(static_cast<double>(calls) / 20, most) << processes;
+    RecordProperty("calls_a_second_" + std::to_string(processes), static_cast<int>(calls) / 20);
+  }
+}
+
+TEST(CallSchedule, AnEstablishedWatchIsAloneUntilItIsLost) {
+  CallSchedule schedule({.pushed = false, .processes = 5});
+  TimePoint now{1h};
+  EXPECT_FALSE(schedule.next_call(0));
+  schedule.watch_lost(now, 0);
+  EXPECT_EQ(schedule.next_call(0), now);
+  schedule.call_began(now, 0);
+  EXPECT_GT(*schedule.next_call(1), now);
+  schedule.watch_established();
+  EXPECT_FALSE(schedule.next_call(1));
+  schedule.call_now(now + 1s);
+  EXPECT_EQ(schedule.next_call(0), now + 1s);
+}
+
+}  // namespace
+}  // namespace keelflow::discovery
--- /dev/null
+++ b/tests/node/drains_test.cpp
@@ -0,0 +1,224 @@
+// Draining executors get nothing new, whatever happens to the calls that bring the list. Faults between one process and
+// discovery; lab/experiments/ci-drains.sexp has those of several processes. See docs/design/drains.md.
+#include "config/config.h"
+#include "scenario.h"
+#include "start.h"
+
+namespace keelflow::test {
+namespace {
+
+const std::string kHead = R"(HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n)";
+const std::string kDraining = R"({"host":"box","dial":"127.0.0.1:9","site":"east","class":"fast","block":1,"health":"draining"})";
+
+void play(const std::string& text, const Options& options) {
+  Scenario scenario(options);
+  scenario.play(kStart);
+  if (!testing::Test::HasFailure()) scenario.play(text);
+}
+
+Options with(const std::string& settings) {
+  Options options;
+  options.settings = settings;
+  return options;
+}
+
+std::string delta(const std::string& name, int version, const std::string& hosts) {
+  return "send " + name + " chunk {\"seq\":" + std::to_string(version) + ",\"whole\":false,\"hosts\":[" + hosts + "]}\\n\n";
+}
+
+// The request waits in vain: nothing is sent to a box that drains.
+const std::string kNothingGoesToBox = R"(
+    open c
+    send c job A price 700
+    expect c HTTP/1.1 503
+    wait attempts_started 0
+    nobody box
+)";
+
+class Drains : public testing::TestWithParam<const char*> {
+ protected:
+  static Options mode() { return with(std::string(R"({"registry_mode":")") + GetParam() + "\"}"); }
+};
+INSTANTIATE_TEST_SUITE_P(Lists, Drains, testing::Values("ask", "push"), [](const auto& mode) { return std::string(mode.param); });
+
+// Each of the calls fails in another way and does not end by itself; the fifth brings the drain.
+TEST_P(Drains, FourCallsThatHangDoNotKeepADrainFromBeingHeardInTime) {
+  play(R"(
+    close disco
+    clock
+    accept one disco
+    send one HTTP/1.1 503 Down\r\nTransfer-Encoding: chunked\r\n\r\n
+    accept two disco
+    accept three disco
+    send three )" + kHead + R"(
+    accept four disco
+    send four )" + kHead + R"(
+    send four chunk {"seq":3,"whole":false,
+    accept five disco
+    expect five since=2 HTTP
+    send five )" + kHead + "\n" + delta("five", 3, kDraining) + R"(
+    wait lists_received 7+
+    under 6
+  )" + kNothingGoesToBox, mode());
+}
+
+TEST_P(Drains, ARefusalWhoseBodyDoesNotEndIsOneAtOnce) {
+  play(R"(
+    close disco
+    accept one disco
+    expect one since=2 HTTP
+    clock
+    send one HTTP/1.1 503 Down\r\nTransfer-Encoding: chunked\r\n\r\n
+    closed one
+    under 0.5
+  )", mode());
+}
+
+// The well-formed entries count at once, whatever the others are; the watch is opened anew for what could not be read.
+TEST_P(Drains, OneMalformedEntryDoesNotKeepTheOthersFromTakingEffect) {
+  for (const char* bad : {R"({"host":"odd","dial":"nowhere","health":"ready"})", R"({"host":"odd","health":null})", R"({"health":"ready"})", "null", "7",
+                          R"({"host":"odd","dial":"127.0.0.1:9","site":5,"health":"ready"})", R"({"host":"odd","dial":"127.0.0.1:9","born_ms":"now","health":"ready"})"})
+    for (bool first : {true, false})
+      play("clock\n" + delta("disco", 3, first ? bad + ("," + kDraining) : kDraining + "," + bad) + R"(
+        wait list_entries_malformed 1
+        closed disco
+        accept disco disco
+        expect disco since=2 HTTP
+        under 3
+      )" + kNothingGoesToBox, mode());
+}
+
+TEST_P(Drains, ADrainingEntryNeedsNoAddress) {
+  for (const char* dial : {"", R"("dial":null,)", R"("dial":"",)"})
+    play(delta("disco", 3, std::string(R"({"host":"box",)") + dial + R"("site":"east","class":"fast","block":1,"health":"draining"})") +
+             "wait lists_received 3\nwait watches_broken 0\n" + kNothingGoesToBox,
+         mode());
+}
+
+TEST_P(Drains, AnUnknownHealthIsNotReady) {
+  play(delta("disco", 3, R"({"host":"box","dial":"127.0.0.1:9","site":"east","class":"fast","block":1,"health":"resting"})") +
+           "wait lists_received 3\n" + kNothingGoesToBox,
+       mode());
+}
+
+// Changes that begin under the version that was asked for are those of a discovery that counts anew.
+TEST_P(Drains, AFirstAnswerUnderTheVersionAskedForIsNotTakenForOldNews) {
+  play(R"(
+    close disco
+    accept disco disco
+    expect disco since=2 HTTP
+    send disco )" + kHead + "\n" + delta("disco", 1, kDraining) + R"(
+    closed disco
+    accept disco disco
+    expect disco GET /discovery/hosts?follow=1 HTTP
+    send disco )" + kHead + R"(
+    send disco chunk {"seq":1,"whole":true,"hosts":[)" + kDraining + R"(]}\n
+    wait lists_received 5
+  )" + kNothingGoesToBox, mode());
+}
+
+// Everything that waited is there at once when the process goes on, the list last.
+TEST_P(Drains, AfterAPauseTheListIsReadBeforeAnythingIsSent) {
+  constexpr int kClients = 600;  // more than one turn of the loop brings
+  std::string open, ask;
+  for (int i = 0; i < kClients; ++i) {
+    open += "open c" + std::to_string(i) + "\n";
+    ask += "send c" + std::to_string(i) + " job J" + std::to_string(i) + " price 900\n";
+  }
+  Options options = mode();
+  options.sockets = 2048;
+  play(open + "wait connections_accepted 600+\nsignal STOP\n" + ask + delta("disco", 3, kDraining) + R"(
+    signal CONT
+    wait requests_taken 600
+    wait attempts_started 0
+    nobody box
+  )", options);
+}
+
+TEST_P(Drains, ADrainAfterAReloadThatMovesDiscoveryIsHeard) {
+  for (const char* old_one : {"", "close disco\nstop disco\n"})
+    play("config disco2\n" + std::string(old_one) + R"(
+      clock
+      signal HUP
+      accept one disco2
+      accept disco disco2
+      expect disco since=2 HTTP
+      send disco )" + kHead + "\n" + delta("disco", 3, kDraining) + R"(
+      wait lists_received 3+
+      wait reloads 1
+      under 4
+    )" + kNothingGoesToBox, mode());
+}
+
+TEST_P(Drains, AWatchGoesOnAfterSigterm) {
+  play(R"(
+    open c
+    signal TERM
+    wait drain_stage 1+
+  )" + delta("disco", 3, kDraining) + R"(
+    wait lists_received 3
+    send c job A price 700
+    expect c HTTP/1.1 503
+    nobody box
+  )", mode());
+}
+
+// Idle clients hold what descriptors they get while discovery is away.
+TEST_P(Drains, WithItsDescriptorsFullTheNodeHearsTheListAndServes) {
+  std::string idle;
+  for (int i = 0; i < 150; ++i) idle += "open idle" + std::to_string(i) + "\n";
+  Options options = mode();
+  options.sockets = 128;
+  play("close disco\nstop disco\n" + idle + R"(
+    wait watches_broken 2+
+    listen disco
+    clock
+    accept disco disco
+    under 3
+    expect disco since=2 HTTP
+    send disco )" + kHead + "\n" + delta("disco", 3, kDraining + R"(,{"host":"box2","dial":"@box2","site":"east","class":"fast","block":1,"health":"ready"})") + R"(
+    wait lists_received 5+
+    open up
+    send up GET /up HTTP/1.1\r\n\r\n
+    expect up HTTP/1.1 200
+    open c
+    send c job A price 5000
+    accept b box2
+    expect b X-Trace-Id: A
+    send b ok 202
+    news A box2 done {"result":"served"}
+    expect c served
+    nobody box
+  )", options);
+}
+
+// An override reaches attempts whose connection is still to come up, as a drain in the list does.
+TEST(Drain, NothingIsWrittenToAnExecutorDisabledBeforeItsConnectionCameUp) {
+  Options options = with(R"({"limits":{"connect_timeout_ms":8000}})");
+  options.operators = true;
+  play(R"(
+    full box
+    open c
+    send c job A price 3000
+    wait attempts_started 1
+    ask DISABLE box => done
+    free box
+    accept late box
+    closed late
+    absent late POST
+  )", options);
+}
+
+TEST(Drain, AKnownListWithAMalformedEntryIsABadFile) {
+  auto config = [](const std::string& hosts) {
+    return decode_config(R"({"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","settings":{"balancers":1,"rank":0,"locality":0,"dcs":["e"],"kinds":["k"],
+      "classes":[{"name":"p","effect":"safe","target_ms":5.0}],"granularity_ms":4.0,"registry_mode":"ask","limits":{"try_limit":3},
+      "safety":{"cold_from":0.14,"cold_ms":23000.0,"drain_grace_ms":500.0,"fall_ms":2000.0,"fall_multiple":4.0,"grace_to_answer_ms":16.0}},
+      "known":{"seq":1,"whole":true,"hosts":)" + hosts + "}}");
+  };
+  EXPECT_EQ(config(R"([{"host":"a","dial":"127.0.0.1:9","health":"ready"}])").known.hosts.size(), 1u);
+  EXPECT_THROW(config(R"([{"host":"a","dial":"127.0.0.1:9","health":"ready"},null])"), ConfigError);
+}
+
+}  // namespace
+}  // namespace keelflow::test
--- a/tests/node/scenario.h
+++ b/tests/node/scenario.h
@@ -2,8 +2,10 @@
 //
 //   open NAME [progress|admin|operators]  connect to the node (or its progress front, admin socket, operators' address)
 //   accept NAME PLACE           wait until the node connects to a stand-in: disco, box, box2 or redis
+//                               (of calls to disco, one that the node has not given up by then)
 //   send NAME TEXT              \r \n \\ as in C; at the start of TEXT, "job ID CLASS PATIENCE" and "stream ..."
-//                               stand for a whole request, "ok 202" for a whole answer, "chunk ..." for one chunk
+//                               stand for a whole request, "ok 202" for a whole answer, "chunk ..." for one chunk, in
+//                               which "@PLACE" in quotes is that place's address
 //   fill NAME COUNT TEXT        sends TEXT so many times
 //   expect NAME TEXT            wait until TEXT has come; what stands before it is dropped
 //   absent NAME TEXT            TEXT is not in what has come and was not dropped
