A call that waits in line at discovery is left alone for longer than its line lasts

Cause: call_schedule began a second call 0.6 to 0.8 s after one that waited. Discovery serves in turn, lets callers wait for up to 1 s, and a second call of a node gives up the first, whose turn is used up all the same: every call admitted to a full line was given up before its turn. Change: kLongestWait 1150 ms between calls while one waits, without jitter; to keep the sum within 6 s the heartbeat counts as missed after 2.25 s (2.5 s before) and the first call is spread by 5 ms for each process (10).

--- a/logic/discovery/call_schedule.cpp
+++ b/logic/discovery/call_schedule.cpp
@@ -8,16 +8,17 @@
 using namespace std::chrono_literals;
 
 // One service answers all processes one after another: the more there are, the slower each of them asks.
-constexpr Duration kFirstForEach = 10ms, kMostFirst = 2s;
+constexpr Duration kFirstForEach = 5ms, kMostFirst = 2s;
 constexpr Duration kPaceForEach = 8ms, kLeastPace = 800ms, kMostPace = 2s;
+constexpr Duration kLongestWait = 1150ms;  // a discovery refuses who has waited for a second
 constexpr double kLeastJitter = 0.75;
 constexpr std::size_t kMostCalls = 5;  // so that a slow answer has some seconds to come
 
 // The bound, for a fleet in which the pace is the least one: a silent watch is the first of the failures.
 constexpr int kSmallFleet = 30;
-constexpr Duration kAnswer = 300ms;
-static_assert(kHeartbeatTimeout + kSmallFleet * kFirstForEach + (kFailuresInARow - 1) * kLeastPace + kAnswer <= kListDeadline);
-static_assert((kFailuresInARow + 1) * kLeastPace + kAnswer <= kListDeadline);
+constexpr Duration kAnswer = 150ms;
+static_assert(kHeartbeatTimeout + kSmallFleet * kFirstForEach + (kFailuresInARow - 1) * kLongestWait + kAnswer <= kListDeadline);
+static_assert((kFailuresInARow + 1) * kLongestWait + kAnswer <= kListDeadline);
 
 constexpr CallPace kAgentPace{.first = Duration::zero(), .while_waiting = 250ms, .after_failure = 100ms, .most_calls = kMostCalls};
 
@@ -27,7 +28,7 @@
   if (policy.pushed) return kAgentPace;
   Duration pace = std::clamp(policy.processes * kPaceForEach, kLeastPace, kMostPace);
   Duration first = std::min((policy.processes - 1) * kFirstForEach, kMostFirst);
-  return {.first = first, .while_waiting = pace, .after_failure = pace, .most_calls = kMostCalls};
+  return {.first = first, .while_waiting = std::max(pace, kLongestWait), .after_failure = pace, .most_calls = kMostCalls};
 }
 
 void CallSchedule::watch_lost(TimePoint now, double draw) {
@@ -54,8 +55,8 @@
 std::optional<TimePoint> CallSchedule::next_call(std::size_t open) const {
   if (!wanted_) return std::nullopt;
   if (!last_began_) return first_;
-  Duration pace = open > 0 ? pace_.while_waiting : pace_.after_failure;
-  return *last_began_ + std::chrono::duration_cast<Duration>(jitter_ * pace);
+  if (open > 0) return *last_began_ + pace_.while_waiting;
+  return *last_began_ + std::chrono::duration_cast<Duration>(jitter_ * pace_.after_failure);
 }
 
 }  // namespace keelflow::discovery
--- a/logic/discovery/call_schedule.h
+++ b/logic/discovery/call_schedule.h
@@ -1,6 +1,8 @@
 // When a process calls discovery to open its watch. The one owner of the list's freshness: whatever becomes of a call,
 // the next one begins at a pace that is counted from the start of the call before, so that neither a call that hangs nor
-// one that is refused puts it off. Several calls may be open at once, and the first that brings a list is the watch.
+// one that is refused puts it off. Several calls may be open at once, and the first that brings a list is the watch. A
+// call that waits is left alone for longer than a discovery lets its callers wait: to one that serves its callers in turn
+// a second call gives up the place of the first, and where all do that nobody is served.
 //
 // The bound that follows (see `kListDeadline`): from the moment at which discovery can be reached, or a watch falls
 // silent, `kFailuresInARow` calls may fail in any way before the list is known. Pure: time and chance are arguments.
@@ -18,7 +20,7 @@
 // A change counts as told so long after discovery had it and could be reached.
 constexpr Duration kListDeadline = std::chrono::seconds(6);
 // Discovery writes something to an open watch every 2 s; one that is silent for longer than this is broken.
-constexpr Duration kHeartbeatTimeout = std::chrono::milliseconds(2500);
+constexpr Duration kHeartbeatTimeout = std::chrono::milliseconds(2250);
 constexpr int kFailuresInARow = 4;
 
 struct CallPolicy {
