An attempt that has ended writes nothing on a connection that comes up in that same turn

Cause: OutboundCall::end left the connection attached. A given-up attempt that waits for a connection for its DELETE is ended by a call-back and deleted at the end of the turn; where the connection came up in the same turn, on_connected found another state than giving_up and wrote the request. It takes a loop that is busy, so that both come at once. Change: end discards the connection. Test: AnAttemptThatHasEnded... forces it; the program of before sends the POST there, this one does not.

--- a/node/outbound/outbound_call.cpp
+++ b/node/outbound/outbound_call.cpp
@@ -243,6 +243,9 @@
   if (was == State::ended) return;
   owner_.loop_.cancel(timer_);
   bool refused = was == State::asked && status_ != 0 && !told_;  // its own answer says that it was not taken
+  reached_ = reach();
+  // It is deleted at the end of the turn only: a connection that comes up in this same turn must find nothing to write.
+  owner_.pool_.discard(std::move(connection_));
   owner_.ended(*this, {.ending = ending, .reach = reach(), .may_tell = !refused && reach() >= Reach::fully_written,
                        .result = std::move(result), .report = report});
 }
--- a/tests/node/crossings_test.cpp
+++ b/tests/node/crossings_test.cpp
@@ -547,6 +547,30 @@
   )", with(classes));
 }
 
+// Its end is told, and the connection for its DELETE comes up, in one turn of the loop.
+TEST(Crossing, AnAttemptThatHasEndedWritesNothingOnAConnectionThatComesUpInThatTurn) {
+  const std::string body = R"({"id":"A","from":"box","state":"failed"})";
+  play(R"(
+    open n
+    open c
+    send c job A price 1500
+    accept b box
+    expect b body
+    send b ok 202 Connection: close\r\n
+    close b
+    full box
+    expect c HTTP/1.1 5
+    signal STOP
+    send n POST /_jobs/news HTTP/1.1\r\nContent-Length: )" + std::to_string(body.size()) + "\\r\\n\\r\\n" + body + R"(
+    free box
+    accept late box
+    signal CONT
+    expect n HTTP/1.1 200
+    closed late
+    absent late POST
+  )", with(R"({"limits":{"connect_timeout_ms":8000}})"));
+}
+
 TEST(Crossing, AnExecutorThatHangsUnderARequestHoldsItsClientNoLongerThanItsDeadline) {
   for (const char* half : {"", "send b HTTP/1.1 50\n"})
     play(std::string("open c\nsend c job A sale 700\nclock\naccept b box\nexpect b body\n") + half + R"(
