A process that was stopped or has just started asks for the list before it sends by an old one

A trace: 88 nodes were gone from 10 s to 28 s; each new process had the list of before, called discovery up to 1.5 s after its start (spread over the fleet) and sent by the old list until then. The same holds for a process that was stopped for seconds and whose watch is dead. Change: DestinationSet says whether its list is trusted: not at the start, and not once a watch's timer turns out to have been held up, until a call has brought the list, 1.5 s at most as discovery may be away. OutboundCall writes nothing until then and looks at the list anew. A stopped process calls at once. Requests of the first moments wait for the list: up to 1.5 s. Also: Server asks the kernel only of the one connection that it would close for others whether bytes wait there.

--- a/node/discovery/destination_set.cpp
+++ b/node/discovery/destination_set.cpp
@@ -8,6 +8,13 @@
 #include "log/log.h"
 
 namespace keelflow {
+namespace {
+
+using namespace std::chrono_literals;
+constexpr Duration kStopped = 250ms;       // a watch's timer that is later than this was held up
+constexpr Duration kDistrustWithin = 1500ms;  // for a call that brings the list after that
+
+}  // namespace
 
 DestinationSet::DestinationSet(net::EventLoop& loop, net::Address discovery, Names names, Listener listener,
                                Counters& counters, std::uint64_t seed)
@@ -18,12 +25,14 @@
 
 void DestinationSet::start(const discovery::CallPolicy& policy) {
   schedule_.change(policy);
+  distrust();  // a list from before the start may be of any age
   schedule_.watch_lost(loop_.now(), draw());
   wait_for_next_call();
 }
 
 void DestinationSet::stop() {
   loop_.cancel(next_call_);
+  loop_.cancel(trust_);
   while (!calls_.empty()) close_call(calls_.begin());
 }
 
@@ -70,6 +79,33 @@
   wait_for_next_call();
 }
 
+bool DestinationSet::overdue() const {
+  return watch_ && loop_.now() > last_heard_ + discovery::kHeartbeatTimeout + kStopped;
+}
+
+bool DestinationSet::trusted() {
+  bool is = loop_.now() >= distrusted_until_ && !overdue();
+  was_distrusted_ = was_distrusted_ || !is;
+  return is;
+}
+
+void DestinationSet::distrust() {
+  distrusted_until_ = loop_.now() + kDistrustWithin;
+  loop_.cancel(trust_);
+  trust_ = loop_.at(distrusted_until_, [this] { heard(); });
+}
+
+void DestinationSet::heard() {
+  last_heard_ = loop_.now();
+  distrusted_until_ = {};
+  if (std::exchange(was_distrusted_, false) && on_trusted) on_trusted();
+}
+
+void DestinationSet::on_heartbeat(DiscoveryCall& call) {
+  establish(call);
+  heard();
+}
+
 void DestinationSet::on_accepted(DiscoveryCall&) {
   if (on_watching) on_watching();
 }
@@ -101,6 +137,7 @@
     any_version_ = false;
     establish(call);
     take(list, list.whole ? reedlb::ListScope::full : reedlb::ListScope::delta);
+    heard();
     return true;
   } catch (const std::exception&) {
     return false;
@@ -114,7 +151,12 @@
 }
 
 void DestinationSet::on_failed(DiscoveryCall& call) {
+  bool was_stopped = watch_ == &call && overdue();
   failed(std::find_if(calls_.begin(), calls_.end(), [&](const auto& one) { return one.get() == &call; }));
+  if (was_stopped) {
+    distrust();
+    schedule_.call_now(loop_.now());
+  }
   wait_for_next_call();
 }
 
--- a/node/discovery/destination_set.h
+++ b/node/discovery/destination_set.h
@@ -46,6 +46,11 @@
   void names(Names names) { names_ = std::move(names); }  // from the next list on
   void disable(WorkerId worker, bool disabled);           // administrative override
 
+  // False: the process has just started or was stopped, so that its list may be older than any that counts as told. Nothing is to be sent
+  // before `on_trusted`, which follows once a call has brought the list, or soon in any case: discovery may be away.
+  bool trusted();
+  std::function<void()> on_trusted;
+
   // An endpoint stays known for the process's life: jobs it has are still cancelled there when it left the list.
   const Destination* find(WorkerId worker) const;
 
@@ -54,11 +59,14 @@
 
   void on_accepted(DiscoveryCall& call) override;
   bool on_object(DiscoveryCall& call, const std::string& text) override;
-  void on_heartbeat(DiscoveryCall& call) override { establish(call); }
+  void on_heartbeat(DiscoveryCall& call) override;
   void on_failed(DiscoveryCall& call) override;
 
   void call();
   void wait_for_next_call();
+  bool overdue() const;  // the watch, by more than its timer lets it be
+  void distrust();
+  void heard();
   void establish(DiscoveryCall& call);
   void close_call(Calls::iterator call);
   void failed(Calls::iterator call);
@@ -77,7 +85,9 @@
   discovery::CallSchedule schedule_;
   Calls calls_;  // oldest first
   DiscoveryCall* watch_ = nullptr;  // the one of them that has brought something
-  TimerId next_call_ = 0;
+  TimerId next_call_ = 0, trust_ = 0;
+  TimePoint last_heard_, distrusted_until_;
+  bool was_distrusted_ = false;  // `trusted` has said so, and `on_trusted` is owed
   std::uint64_t version_ = 0;
   bool has_list_ = false;
   bool any_version_ = true;  // the next object counts whatever its version: its discovery is new to us
--- a/node/inbound/server.cpp
+++ b/node/inbound/server.cpp
@@ -40,6 +40,7 @@
 constexpr Duration kFlushPatience = 30s;  // for a client to read what it was answered
 constexpr Duration kAcceptPause = 10ms;
 constexpr int kMostAccepts = 64;    // in one turn of the loop
+constexpr std::size_t kMostPassedOver = 8;  // that have something to say, when one is looked for to be closed
 constexpr std::size_t kReserve = 6;  // a sixth more connections than wanted are accepted, for call-backs
 constexpr std::size_t kMostWaiting = 16 * 1024;  // of a next request that comes early; times all connections
 
@@ -114,7 +115,7 @@
 
 int InboundConnection::spare(TimePoint now) const {
   if (busy_ || connection_.pending() > 0) return 0;
-  if (!keep_alive_) return 3;
+  if (!keep_alive_) return kOnlyLingers;
   if (!parser_.idle()) return now - begun_ >= kFresh ? 2 : 0;
   if (asked_) return 1;
   return now - since_ >= kFresh ? 2 : 0;
@@ -346,21 +347,34 @@
   pause_ = loop_.at(loop_.now() + kAcceptPause, [this] { accept(); });
 }
 
+// Whether bytes of the client wait is asked of the kernel, so only of the one that would be closed.
 bool Server::free_one(const InboundConnection* except) {
+  std::vector<const InboundConnection*> passed_over = {except};
+  TimePoint now = loop_.now();
+  while (passed_over.size() <= kMostPassedOver) {
+    InboundConnection* best = most_spare(now, passed_over);
+    if (!best) return false;
+    if (best->spare(now) == InboundConnection::kOnlyLingers || best->quiet()) {
+      ++counters_.connections_shed;
+      best->abandon();
+      return true;
+    }
+    passed_over.push_back(best);
+  }
+  return false;
+}
+
+InboundConnection* Server::most_spare(TimePoint now, const std::vector<const InboundConnection*>& but) const {
   InboundConnection* best = nullptr;
   int most = 0;
-  TimePoint now = loop_.now();
-  for (auto& [raw, connection] : connections_) {
-    int spare = raw == except ? 0 : raw->spare(now);
+  for (const auto& [raw, connection] : connections_) {
+    int spare = raw->spare(now);
     if (spare == 0 || spare < most || (spare == most && raw->since() >= best->since())) continue;
-    if (spare < 3 && !raw->quiet()) continue;  // asks the kernel, so only of the few that come this far
+    if (std::find(but.begin(), but.end(), raw) != but.end()) continue;
     best = raw;
     most = spare;
   }
-  if (!best) return false;
-  ++counters_.connections_shed;
-  best->abandon();
-  return true;
+  return best;
 }
 
 void Server::remove(InboundConnection& connection) {
--- a/node/inbound/server.h
+++ b/node/inbound/server.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "core/counters.h"
 #include "net/connection.h"
@@ -53,6 +54,7 @@
   // their client to see the end go first, then those that never asked or do not get on with asking, then idle ones.
   // A connection that has just come is spared: a client whose first request is cut off counts as failed.
   int spare(TimePoint now) const;
+  static constexpr int kOnlyLingers = 3;  // waits only for its client to see the end
   // Nothing begun, nothing owed, and nothing unread: a connection that is closed must not take a request with it.
   bool idle() const { return !busy_ && parser_.idle() && connection_.pending() == 0 && connection_.quiet(); }
   bool quiet() const { return connection_.quiet(); }
@@ -119,6 +121,7 @@
   void serve(int fd);
   void pause();
   bool free_one(const InboundConnection* except = nullptr);
+  InboundConnection* most_spare(TimePoint now, const std::vector<const InboundConnection*>& but) const;
   void remove(InboundConnection& connection);
 
   net::EventLoop& loop_;
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -105,6 +105,7 @@
     server_.on_pressure = [this] { return pool_.free_one(); };
     destinations_.on_watching = [this] { watching(); };
     destinations_.known(config_.known);
+    destinations_.on_trusted = [this] { outbound_.list_trusted(); };
     destinations_.on_pressure = server_.on_pressure;
     destinations_.start(call_policy(config_.settings));
     signals_.open();
--- a/node/outbound/outbound.cpp
+++ b/node/outbound/outbound.cpp
@@ -90,6 +90,13 @@
   raw->begin(*to);
 }
 
+void Outbound::list_trusted() {
+  std::vector<std::pair<RequestId, int>> all;
+  for (const auto& [ref, call] : calls_) all.push_back(ref);
+  for (const auto& ref : all)
+    if (auto it = calls_.find(ref); it != calls_.end()) it->second->list_trusted();
+}
+
 bool Outbound::news(const News& news) {
   ++counters_.news_received;
   auto name = by_name_.find(news.id);
--- a/node/outbound/outbound_call.cpp
+++ b/node/outbound/outbound_call.cpp
@@ -47,7 +47,13 @@
   write_request();
 }
 
+void OutboundCall::list_trusted() {
+  if (std::exchange(waits_for_list_, false) && state_ == State::connecting) write_request();
+}
+
 void OutboundCall::write_request() {
+  waits_for_list_ = !owner_.destinations_.trusted();
+  if (waits_for_list_) return;
   // It may have come up late: from a drain that was told meanwhile on, or the end of the window, not even a first byte
   // goes there.
   const Destination* still = owner_.destinations_.find(worker_);
--- a/node/outbound/outbound_call.h
+++ b/node/outbound/outbound_call.h
@@ -18,6 +18,7 @@
   void give_up();
   bool unsent() const { return reach() < Reach::fully_written; }
   void news(const News& news);
+  void list_trusted();
   AttemptRef ref() const { return ref_; }
   const std::string& host() const { return host_; }
   const std::string& id() const { return payload_->id; }
@@ -49,7 +50,7 @@
   std::string host_;
   net::Address dial_;
   std::shared_ptr<const Payload> payload_;
-  bool wants_progress_, once_, counted_ = false, accepted_ = false, told_ = false, soon_ = false;
+  bool wants_progress_, once_, counted_ = false, accepted_ = false, told_ = false, soon_ = false, waits_for_list_ = false;
   std::optional<Ending> doubtful_;  // how it may have ended; or an earlier attempt there
   std::string rest_;  // of the request, held back
   EndpointPort::Terms terms_;
--- a/tests/node/drains_test.cpp
+++ b/tests/node/drains_test.cpp
@@ -192,6 +192,34 @@
   )", options);
 }
 
+// A restarted process has the list that the platform kept for it, of whatever age.
+TEST_P(Drains, ARestartedProcessAsksBeforeItSendsByTheListFromBefore) {
+  Options options = mode();
+  options.known = R"({"seq":2,"whole":true,"hosts":[{"host":"box","dial":"@box","site":"east","class":"fast","block":1,"health":"ready"}]})";
+  Scenario told(options);
+  told.play(R"(
+    open c
+    send c job A price 700
+    accept b box
+    accept disco disco
+    expect disco since=2 HTTP
+    send disco )" + kHead + "\n" + delta("disco", 3, kDraining) + R"(
+    closed b
+    absent b POST
+    expect c HTTP/1.1 503
+  )");
+  if (HasFailure()) return;
+  Scenario alone(options);  // discovery says nothing: what is known is better than nothing
+  alone.play(R"(
+    open c
+    clock
+    send c job A price 9000
+    accept b box
+    expect b X-Trace-Id: A
+    under 3
+  )");
+}
+
 // An override reaches attempts whose connection is still to come up, as a drain in the list does.
 TEST(Drain, NothingIsWrittenToAnExecutorDisabledBeforeItsConnectionCameUp) {
   Options options = with(R"({"limits":{"connect_timeout_ms":8000}})");
--- a/tests/node/scenario.cpp
+++ b/tests/node/scenario.cpp
@@ -89,6 +89,10 @@
                            {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", options.sockets}}},
                            {"settings", settings}};
   if (options.operators) config["admin"] = "127.0.0.1:0";
+  if (std::string known = options.known; !known.empty()) {
+    put_addresses(known);
+    config["known"] = nlohmann::json::parse(known);
+  }
   if (!options.admin.empty()) config["admin"] = options.admin;
   std::ofstream(folder_ + "/config.json") << (config_ = config.dump());
   std::filesystem::create_directory(folder_ + "/deploy");
@@ -275,9 +279,7 @@
   }
   if (word == "chunk") {
     std::string body = unescape(rest_of(in));
-    for (const auto& [place, port] : ports_)
-      for (std::size_t at; (at = body.find("@" + place + "\"")) != std::string::npos;)
-        body.replace(at, place.size() + 1, "127.0.0.1:" + std::to_string(port));
+    put_addresses(body);
     std::ostringstream out;
     out << std::hex << body.size() << "\r\n" << body << "\r\n";
     return out.str();
@@ -285,6 +287,12 @@
   return unescape(text);
 }
 
+void Scenario::put_addresses(std::string& text) const {
+  for (const auto& [place, port] : ports_)
+    for (std::size_t at; (at = text.find("@" + place + "\"")) != std::string::npos;)
+      text.replace(at, place.size() + 1, "127.0.0.1:" + std::to_string(port));
+}
+
 void Scenario::send(Line& to, std::string text) {
   for (std::size_t at = 0; at < text.size();) {
     ssize_t sent = ::send(to.fd, text.data() + at, text.size() - at, MSG_NOSIGNAL);
--- a/tests/node/scenario.h
+++ b/tests/node/scenario.h
@@ -63,6 +63,7 @@
   std::map<std::string, std::string> plugins;   // by name: the source, whose manifest names the entries it defines
   std::string plugin_settings;  // more of (plugins ...)
   std::string settings;         // JSON merged over the usual settings
+  std::string known;            // JSON: the list that the platform keeps; "@PLACE" as in chunks
   int sockets = 1024;           // the descriptor limit of the process too
   bool operators = false;       // the configuration has an `admin` address
   std::string admin;            // which, if not any that is free
@@ -93,6 +94,7 @@
   std::string ask(const std::string& call, bool elder = false);
   void start(const Options& options);
   std::string message(std::string text) const;
+  void put_addresses(std::string& text) const;
   void list(const std::string& words);
   void command(int code, const std::string& arguments);
   void write_plugin(const std::string& name, const std::string& source);
