--- a/lab/directory.cpp
+++ b/lab/directory.cpp
@@ -36,8 +36,9 @@
     if (unsent_.empty()) connection_.stream(text);
     else unsent_ += text;  // what comes slowly comes first
   }
-  void tell_slowly(std::string text) {
+  void tell_slowly(std::string text, std::function<void()> when_written) {
     unsent_ = std::move(text);
+    when_written_ = std::move(when_written);
     go_on();
   }
   void silence() { silent_ = true; }
@@ -57,13 +58,15 @@
   void go_on() {
     connection_.stream(unsent_.substr(0, kSlowPiece));
     unsent_.erase(0, kSlowPiece);
-    if (!unsent_.empty()) timer_ = loop_.at(loop_.now() + kSlowPause, [this] { go_on(); });
+    if (unsent_.empty()) return when_written_();
+    timer_ = loop_.at(loop_.now() + kSlowPause, [this] { go_on(); });
   }
 
   net::EventLoop& loop_;
   All all_;
   InboundConnection& connection_;
   std::string unsent_;
+  std::function<void()> when_written_;
   TimerId timer_ = 0;
   bool silent_ = false;
 };
@@ -122,7 +125,7 @@
         if (std::find(watches_->begin(), watches_->end(), lost) != watches_->end()) lost->connection().abandon();
       });
     }
-    if (fault == CallFault::slow) watch->tell_slowly(list);
+    if (fault == CallFault::slow) watch->tell_slowly(list, [this] { owner_.told(node_); });
     else watch->silence();
     return watch;
   }
--- a/lab/directory.h
+++ b/lab/directory.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <deque>
+#include <functional>
 #include <memory>
 #include <nlohmann/json_fwd.hpp>
 #include <optional>
