A reload does not drop the wake-up of attempts that wait for the list

Found on rereading: DestinationSet::move stops its calls, and with them it cancelled the timer that ends the wait for a list that is not trusted. A SIGHUP within 1.5 s of a start or a pause, with a new discovery that says nothing, left those attempts waiting until their deadline. Change: the timer is cancelled by the destructor alone. Measured: the nine tests of reloads, restarts, pauses and hanging calls pass.

--- a/node/discovery/destination_set.cpp
+++ b/node/discovery/destination_set.cpp
@@ -21,7 +21,10 @@
     : loop_(loop), discovery_(discovery), names_(std::move(names)), listener_(std::move(listener)),
       counters_(counters), random_(static_cast<std::minstd_rand::result_type>(seed ^ seed >> 32)), schedule_({}) {}
 
-DestinationSet::~DestinationSet() { stop(); }
+DestinationSet::~DestinationSet() {
+  loop_.cancel(trust_);
+  stop();
+}
 
 void DestinationSet::start(const discovery::CallPolicy& policy) {
   schedule_.change(policy);
@@ -32,7 +35,6 @@
 
 void DestinationSet::stop() {
   loop_.cancel(next_call_);
-  loop_.cancel(trust_);
   while (!calls_.empty()) close_call(calls_.begin());
 }
 
