Discovery's calls, watches and lists are logged with ids, state and the reason of each end

New subsystem 'discovery' at level info: call-begins, call-accepted, watch-established, call-ends, watch-ends (typed reason, status, age), list-applied (version, entries, not ready). No decision is changed.

--- a/node/discovery/destination_set.cpp
+++ b/node/discovery/destination_set.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 using namespace std::chrono_literals;
+using discovery::CallEnd;
+using log::Subsystem;
 constexpr Duration kStopped = 250ms;       // a watch's timer that is later than this was held up
 constexpr Duration kDistrustWithin = 1500ms;  // for a call that brings the list after that
 
@@ -35,7 +37,7 @@
 
 void DestinationSet::stop() {
   loop_.cancel(next_call_);
-  while (!calls_.empty()) close_call(calls_.begin());
+  while (!calls_.empty()) close_call(calls_.begin(), CallEnd::no_longer_wanted);
 }
 
 void DestinationSet::known(const HostList& list) { take(list, reedlb::ListScope::cached); }
@@ -69,15 +71,16 @@
 }
 
 void DestinationSet::call() {
-  if (calls_.size() >= schedule_.most_calls()) failed(calls_.begin());
+  if (calls_.size() >= schedule_.most_calls()) give_up(calls_.begin());
   ++counters_.watches_opened;
   schedule_.call_began(loop_.now(), draw());
   std::string since = has_list_ ? "&since=" + std::to_string(version_) : "";
-  calls_.push_back(std::make_unique<DiscoveryCall>(loop_, *this, since));
+  calls_.push_back(std::make_unique<DiscoveryCall>(loop_, *this, ++calls_begun_, since));
   DiscoveryCall& begun = *calls_.back();
+  log::info(Subsystem::discovery, "call-begins", {{"call", begun.number()}, {"since", version_}, {"open", std::uint64_t{calls_.size()}}});
   bool connects = begun.begin(discovery_);
   if (!connects && (errno == EMFILE || errno == ENFILE) && on_pressure && on_pressure()) connects = begun.begin(discovery_);
-  if (!connects) failed(std::prev(calls_.end()));
+  if (!connects) failed(std::prev(calls_.end()), CallEnd::connect_failed);
   wait_for_next_call();
 }
 
@@ -104,11 +107,13 @@
 }
 
 void DestinationSet::on_heartbeat(DiscoveryCall& call) {
+  if (watch_ != &call) log::info(Subsystem::discovery, "heartbeat-first", {{"call", call.number()}, {"after_ms", to_ms(loop_.now() - call.began())}});
   establish(call);
   heard();
 }
 
-void DestinationSet::on_accepted(DiscoveryCall&) {
+void DestinationSet::on_accepted(DiscoveryCall& call) {
+  log::info(Subsystem::discovery, "call-accepted", {{"call", call.number()}, {"after_ms", to_ms(loop_.now() - call.began())}});
   if (on_watching) on_watching();
 }
 
@@ -118,8 +123,9 @@
   if (watch_ == &call) return;
   watch_ = &call;
   schedule_.watch_established();
-  while (calls_.front().get() != &call) failed(calls_.begin());
-  while (calls_.back().get() != &call) close_call(std::prev(calls_.end()));
+  log::info(Subsystem::discovery, "watch-established", {{"call", call.number()}, {"after_ms", to_ms(loop_.now() - call.began())}});
+  while (calls_.front().get() != &call) failed(calls_.begin(), CallEnd::superseded);
+  while (calls_.back().get() != &call) close_call(std::prev(calls_.end()), CallEnd::superseded);
   call.established();
   wait_for_next_call();
 }
@@ -152,9 +158,9 @@
   return list.version < version_ && !any_version_ && !(call.asked_for_all() && call.at_first_object());
 }
 
-void DestinationSet::on_failed(DiscoveryCall& call) {
+void DestinationSet::on_failed(DiscoveryCall& call, CallEnd how) {
   bool was_stopped = watch_ == &call && overdue();
-  failed(std::find_if(calls_.begin(), calls_.end(), [&](const auto& one) { return one.get() == &call; }));
+  failed(std::find_if(calls_.begin(), calls_.end(), [&](const auto& one) { return one.get() == &call; }), how);
   if (was_stopped) {
     distrust();
     schedule_.call_now(loop_.now());
@@ -162,16 +168,23 @@
   wait_for_next_call();
 }
 
-void DestinationSet::failed(Calls::iterator call) {
+void DestinationSet::give_up(Calls::iterator call) {
+  failed(call, (*call)->connected() ? CallEnd::unanswered : CallEnd::no_connection);
+}
+
+void DestinationSet::failed(Calls::iterator call, CallEnd how) {
   bool was_watch = watch_ == call->get();
-  close_call(call);
+  close_call(call, how);
   ++counters_.watches_broken;
   ++counters_.lists_received;
   if (was_watch) schedule_.watch_lost(loop_.now(), draw());
 }
 
-void DestinationSet::close_call(Calls::iterator call) {
-  if (watch_ == call->get()) watch_ = nullptr;
+void DestinationSet::close_call(Calls::iterator call, CallEnd how) {
+  const DiscoveryCall& ending = **call;
+  log::info(Subsystem::discovery, watch_ == &ending ? "watch-ends" : "call-ends",
+            {{"call", ending.number()}, {"why", discovery::to_string(how)}, {"status", ending.status()}, {"after_ms", to_ms(loop_.now() - ending.began())}});
+  if (watch_ == &ending) watch_ = nullptr;
   (*call)->close();
   loop_.dispose(std::move(*call));
   calls_.erase(call);
@@ -180,7 +193,7 @@
 // The version stays, so that the next call brings what could not be read once more.
 void DestinationSet::take_what_is_well_formed(const HostList& list) {
   counters_.list_entries_malformed += list.malformed;
-  log::warning(log::Subsystem::node, "list-malformed", {{"version", list.version}, {"entries", list.malformed}});
+  log::warning(Subsystem::discovery, "list-malformed", {{"version", list.version}, {"entries", list.malformed}});
   HostList readable = list;
   readable.version = version_;
   bool had_list = has_list_;
@@ -206,6 +219,9 @@
     received.entries.push_back(host.entry);
   }
   ++counters_.lists_received;
+  auto not_ready = std::count_if(list.hosts.begin(), list.hosts.end(), [](const Host& host) { return host.entry.state != reedlb::WorkerState::ready; });
+  log::info(Subsystem::discovery, "list-applied", {{"version", list.version}, {"whole", list.whole}, {"entries", std::uint64_t{list.hosts.size()}},
+            {"not_ready", static_cast<std::uint64_t>(not_ready)}, {"cached", scope == reedlb::ListScope::cached}});
   listener_(std::move(received));
 }
 
--- a/node/discovery/destination_set.h
+++ b/node/discovery/destination_set.h
@@ -60,7 +60,7 @@
   void on_accepted(DiscoveryCall& call) override;
   bool on_object(DiscoveryCall& call, const std::string& text) override;
   void on_heartbeat(DiscoveryCall& call) override;
-  void on_failed(DiscoveryCall& call) override;
+  void on_failed(DiscoveryCall& call, discovery::CallEnd how) override;
 
   void call();
   void wait_for_next_call();
@@ -68,8 +68,9 @@
   void distrust();
   void heard();
   void establish(DiscoveryCall& call);
-  void close_call(Calls::iterator call);
-  void failed(Calls::iterator call);
+  void close_call(Calls::iterator call, discovery::CallEnd how);
+  void failed(Calls::iterator call, discovery::CallEnd how);
+  void give_up(Calls::iterator call);  // for a later one
   bool out_of_date(const DiscoveryCall& call, const HostList& list);
   void take_what_is_well_formed(const HostList& list);
   void take(const HostList& list, reedlb::ListScope scope);
@@ -84,6 +85,7 @@
   std::unordered_map<WorkerId, Destination> destinations_;
   discovery::CallSchedule schedule_;
   Calls calls_;  // oldest first
+  std::uint64_t calls_begun_ = 0;
   DiscoveryCall* watch_ = nullptr;  // the one of them that has brought something
   TimerId next_call_ = 0, trust_ = 0;
   TimePoint last_heard_, distrusted_until_;
--- a/node/discovery/discovery_call.cpp
+++ b/node/discovery/discovery_call.cpp
@@ -13,8 +13,8 @@
 
 }  // namespace
 
-DiscoveryCall::DiscoveryCall(net::EventLoop& loop, Owner& owner, std::string since)
-    : loop_(loop), owner_(owner), since_(std::move(since)), connection_(loop) {
+DiscoveryCall::DiscoveryCall(net::EventLoop& loop, Owner& owner, std::uint64_t number, std::string since)
+    : loop_(loop), owner_(owner), number_(number), since_(std::move(since)), began_(loop.now()), connection_(loop) {
   connection_.allow_stream();
   connection_.attach(this);
   connection_.prefer();
@@ -34,9 +34,14 @@
 }
 
 void DiscoveryCall::on_head(const net::Head& head) {
+  status_ = head.status;
   accepted_ = head.status == 200;
   if (accepted_) owner_.on_accepted(*this);
-  else owner_.on_failed(*this);  // whatever its body says, and however long that takes
+  else owner_.on_failed(*this, discovery::CallEnd::refused);  // whatever its body says, and however long that takes
+}
+
+void DiscoveryCall::on_broken() {
+  owner_.on_failed(*this, connected() ? discovery::CallEnd::closed : discovery::CallEnd::connect_failed);
 }
 
 void DiscoveryCall::on_body(std::string_view bytes) {
@@ -47,7 +52,7 @@
     return owner_.on_object(*this, text) && connection_.open();
   });
   if (!connection_.open()) return;  // its owner has closed it
-  if (!fine) return owner_.on_failed(*this);
+  if (!fine) return owner_.on_failed(*this, discovery::CallEnd::malformed);
   if (!frames_.within() && frames_.count() == had) owner_.on_heartbeat(*this);
   if (!connection_.open()) return;
   bool begins = frames_.within() && (!was_within || frames_.count() > had);
@@ -65,7 +70,7 @@
   if (!established_) return;
   loop_.cancel(silence_);
   TimePoint latest = frames_.within() ? object_begun_ + kObjectTimeout : loop_.now() + discovery::kHeartbeatTimeout;
-  silence_ = loop_.at(latest, [this] { owner_.on_failed(*this); });
+  silence_ = loop_.at(latest, [this] { owner_.on_failed(*this, discovery::CallEnd::silent); });
 }
 
 }  // namespace keelflow
--- a/node/log/log.cpp
+++ b/node/log/log.cpp
@@ -28,7 +28,7 @@
 constexpr std::size_t kQueue = 1024;  // records; about 0.4 MB
 constexpr std::size_t kMostRetired = 4;
 constexpr auto kLastWait = 300ms;     // for what is queued when the program ends
-constexpr std::array kSubsystems = {"node", "inbound", "routes", "moves", "admin", "progress", "plugins", "fleet"};
+constexpr std::array kSubsystems = {"node", "inbound", "routes", "moves", "admin", "progress", "plugins", "fleet", "discovery"};
 constexpr std::array kLevels = {"debug", "info", "warning", "error"};
 
 spdlog::level::level_enum theirs(Level level) {
--- a/node/log/log.h
+++ b/node/log/log.h
@@ -14,7 +14,7 @@
 
 namespace keelflow::log {
 
-enum class Subsystem : std::uint8_t { node, inbound, routes, moves, admin, progress, plugins, fleet };
+enum class Subsystem : std::uint8_t { node, inbound, routes, moves, admin, progress, plugins, fleet, discovery };
 enum class Level : std::uint8_t { debug, info, warning, error };
 
 std::string_view word(Subsystem subsystem);
