Failing tests of the incident: restarted processes of a large fleet send by an old list

The lab: 'configured' sets the fleet's believed size, and a process that starts again gets the list that the platform kept.

--- a/lab/directory.cpp
+++ b/lab/directory.cpp
@@ -160,6 +160,10 @@
   return nlohmann::json{{"seq", version_}, {"whole", true}, {"hosts", hosts}}.dump();
 }
 
+nlohmann::json Directory::known(std::size_t node) const {
+  return nlohmann::json::parse(down_ ? before_down_.at(node) : whole(node));
+}
+
 // What is written into a link that is cut does not arrive, and counts like any other call that fails.
 void Directory::told(std::size_t node, const Box& box) {
   bool cut = world_.network && !world_.network->hears(world_.node_places[node], world_.discovery_place);
@@ -183,7 +187,9 @@
 
 void Directory::down(bool is) {
   if (std::exchange(down_, is) == is) return;
+  before_down_.clear();
   for (std::size_t i = 0; i < desks_.size(); ++i) {
+    if (is) before_down_.push_back(whole(i));
     if (is && pushed_) desks_[i]->silence();
     if (is && !pushed_) desks_[i]->close_watches();
     if (!is && pushed_ && !desks_[i]->fails()) told(i);  // what the agent gets at the return counts at once
--- a/lab/directory.h
+++ b/lab/directory.h
@@ -34,6 +34,7 @@
   ~Directory();
 
   net::Address address(std::size_t node) const;
+  nlohmann::json known(std::size_t node) const;  // the list as discovery last could have told it to that node
   void changed(const Box& box);  // written to every watch at once
 
   void down(bool is);  // asked: watches end, and calls are refused after a while. Pushed: all fall silent
@@ -55,6 +56,7 @@
   bool pushed_, down_ = false;
   std::uint64_t version_ = 1;
   std::vector<std::unique_ptr<Desk>> desks_;
+  std::vector<std::string> before_down_;  // by node: the list when discovery went down
   TimerId beat_ = 0;
 };
 
--- a/lab/nodes.cpp
+++ b/lab/nodes.cpp
@@ -46,7 +46,7 @@
   }
   for (const BoxPlan& b : plan.boxes)
     if (std::find(sites.begin(), sites.end(), json(b.site)) == sites.end()) sites.push_back(b.site);
-  return {{"balancers", static_cast<int>(plan.nodes)}, {"rank", number}, {"locality", zone}, {"dcs", sites}, {"kinds", {"std"}},
+  return {{"balancers", static_cast<int>(std::max(plan.nodes, plan.configured))}, {"rank", number}, {"locality", zone}, {"dcs", sites}, {"kinds", {"std"}},
           {"classes", classes}, {"tenants", tenants}, {"granularity_ms", 4.0}, {"registry_mode", plan.pushed ? "push" : "ask"},
           {"family_info", {{"tells_start", true}, {"class_stretch", stretch}, {"report_x0", "free_slots"}}},
           {"limits", {{"cancel", true}, {"peer_messages", plan.peers}, {"probes", false}, {"parallel_tries", false}, {"retry_after", true}, {"try_limit", 3},
@@ -88,14 +88,15 @@
 
 void NodeProcess::start(const Neighbours& neighbours, std::uint64_t seed) {
   neighbours_ = neighbours;
-  start_again(seed);
+  start_again(seed, nullptr);
 }
 
-void NodeProcess::start_again(std::uint64_t seed) {
+void NodeProcess::start_again(std::uint64_t seed, const json& known) {
   std::ostringstream hex;
   hex << std::hex << seed;
   json config = {{"name", "n" + std::to_string(number_)}, {"listen", address_.text()}, {"seed", hex.str()}, {"discovery", neighbours_.discovery.text()},
                  {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 1024}}}, {"settings", platform_settings(plan_, number_)}};
+  if (!known.is_null()) config["known"] = known;
   if (neighbours_.peer_listen) {
     config["peer_listen"] = neighbours_.peer_listen->text();
     for (const net::Address& peer : neighbours_.peers) config["peers"].push_back(peer.text());
--- a/lab/nodes.h
+++ b/lab/nodes.h
@@ -30,7 +30,8 @@
   NodeProcess& operator=(const NodeProcess&) = delete;
 
   void start(const Neighbours& neighbours, std::uint64_t seed);
-  void start_again(std::uint64_t seed);  // under the same name and address, with another seed
+  // Under the same name and address, with another seed. `known`: the list that the platform has kept for it, or null.
+  void start_again(std::uint64_t seed, const nlohmann::json& known);
   net::Address address() const { return address_; }
   void wait_until_up();  // throws std::runtime_error with its log if it does not come up
   bool up() const;       // it accepts connections
--- a/lab/plan.cpp
+++ b/lab/plan.cpp
@@ -231,6 +231,7 @@
   Plan plan;
   plan.name = root.items[1].atom;
   form.number("nodes", plan.nodes, 1, 40, "a number");
+  form.number("configured", plan.configured, 0, 900, "a number of processes");
   form.number("load", plan.load, 0.1, 100'000, "requests a second");
   form.number("tenants", plan.tenants, 1, 100, "a number");
   form.number("objects", plan.objects, 1, 1e9, "a number");
--- a/lab/plan.h
+++ b/lab/plan.h
@@ -46,6 +46,7 @@
 
 struct Plan {
   std::string name;
+  double configured = 0;  // processes that each node's settings name; 0: as many as there are
   double nodes = 2, load = 100, tenants = 4, objects = 5000, rude = 0;  // rude: share of clients that ignore Retry-After
   Duration lasts = std::chrono::seconds(15), progress = std::chrono::seconds(1);
   double cold_from = 0.14;
--- a/lab/run.cpp
+++ b/lab/run.cpp
@@ -90,6 +90,7 @@
     TimePoint start = began_ = loop_.now() + kSettle;
     loop_.at(start, [this] { crowd_.begin(); });
     stopped_.resize(nodes_.size());
+    known_.resize(nodes_.size());
     look();
     for (const Change& change : plan_.changes) loop_.at(start + change.at, [this, &change] { apply(change); });
     loop_.at(start + plan_.lasts, [this] {
@@ -246,6 +247,7 @@
     NodeProcess& node = *nodes_[i];
     if (change.verb == "kill") {
       crowd_.faulty(i);
+      known_[i] = directory_->known(i);
       node.kill();
       look();
       if (network_) network_->down(world_.node_places[i], true);
@@ -253,7 +255,7 @@
         if (nodes_[i]->killed()) crowd_.leave(i);
       });
     } else if (change.verb == "start" && node.killed()) {
-      node.start_again(settings_.seed * 1000 + 500 + i);
+      node.start_again(settings_.seed * 1000 + 500 + i, known_[i]);
       wait_for_start(i, loop_.now());
     } else if (change.verb == "stall") {
       Duration span{};
@@ -491,6 +493,7 @@
   std::vector<std::unique_ptr<NodeProcess>> nodes_;
   std::vector<json> finals_, fleets_;
   std::vector<bool> stopped_;  // by SIGSTOP
+  std::vector<json> known_;    // by node: the list that it had when it was killed
   bool discovery_down_ = false;
   Views views_;
   double cpu_ = 0, reloads_ = 0, ready_s_ = 0;  // ready: the longest that a node took that was started again
--- a/tests/node/drains_test.cpp
+++ b/tests/node/drains_test.cpp
@@ -220,6 +220,23 @@
   )");
 }
 
+// What a process believes of the size of its fleet makes it call later, and never makes it send earlier.
+TEST_P(Drains, ARestartedProcessOfAnyFleetSendsNothingBeforeTheListHasCome) {
+  for (const char* processes : {"5", "300", "900"}) {
+    Options options = with(std::string(R"({"balancers":)") + processes + R"(,"registry_mode":")" + GetParam() + "\"}");
+    options.known = R"({"seq":2,"whole":true,"hosts":[{"host":"box","dial":"@box","site":"east","class":"fast","block":1,"health":"ready"}]})";
+    SCOPED_TRACE(processes);
+    Scenario scenario(options);
+    scenario.play(R"(
+      open c
+      send c job A price 1900
+      expect c HTTP/1.1 503
+      nobody box
+    )");
+    if (HasFailure()) return;
+  }
+}
+
 // An override reaches attempts whose connection is still to come up, as a drain in the list does.
 TEST(Drain, NothingIsWrittenToAnExecutorDisabledBeforeItsConnectionCameUp) {
   Options options = with(R"({"limits":{"connect_timeout_ms":8000}})");
