Sends only under a lease of the list: nothing goes out by a list that may be out of date

Cause (incident, docs/incidents): a process that had started or was stopped believed its list again after 1.5 s (kDistrustWithin), while its first call is put off by up to min(2 s, 5 ms x processes). With 300 configured processes both are 1.5 s, so that the few that draw a late first call, or whose call is answered late, send by the list from before the restart. Class: a bound stated for a small fleet, over constants that grow with the fleet. Change: logic/discovery/list_lease. The list is sent by under a lease that objects and heartbeats (after a first object) renew, stamped with the last look at the sockets before their bytes came; a refused or unacknowledged connect renews it too; without proof it runs out 6 s less 0.15 s less the grace after the last. Pushed: a closed watch ends it within the grace. While it does not run the module holds (SendPermission) and attempts whose connection comes up wait, never written; such an attempt ends as moot, so its request is refused, not failed. A 503 after a wait in line cannot tell an outage from a crowd: an outage is presumed only while peers say that they have no watch either and none that it has one (logic/discovery/outage_presumption), never from silence. GET /up is 503 until the list may be sent by, 4 s at most.

--- a/include/reedlb/dispatcher.h
+++ b/include/reedlb/dispatcher.h
@@ -173,6 +173,10 @@
   std::vector<OfKind> kinds;
   OfFleet fleet;
 };
+// Whether anything may be sent at present; until the first one comes it may. While not, jobs are held.
+struct SendPermission {
+  bool allowed = true;
+};
 // Another process of this same node decides beside this one: each is told (Tell, to the own rank) of what the other
 // sends, and counts it as its own where the rules do.
 struct Twin {
@@ -213,7 +217,7 @@
   bool ours = false;
 };
 using Event = std::variant<WorkerList, Arrival, StreamBegun, Started, ClientGone, Timer, PeerMessage,
-                           ProbeResult, Outcome, Retune, Knowledge, Twin, Members, Homes, Turns, Grant>;
+                           ProbeResult, Outcome, Retune, Knowledge, Twin, Members, Homes, Turns, Grant, SendPermission>;
 
 // ---- actions ----
 
--- a/logic/discovery/call_end.h
+++ b/logic/discovery/call_end.h
@@ -7,7 +7,8 @@
 namespace keelflow::discovery {
 
 enum class CallEnd : std::uint8_t {
-  connect_failed,    // refused, reset before it was up, or no socket to be had
+  connect_refused,   // nobody listens there
+  connect_failed,    // in another way, or no socket to be had
   no_connection,     // given up for a later call, or ended, while its connection had never come up
   refused,           // answered with another status than 200
   closed,            // closed or reset by discovery after the connection was up
@@ -21,6 +22,8 @@
 
 constexpr std::string_view to_string(CallEnd end) {
   switch (end) {
+    case CallEnd::connect_refused:
+      return "connect-refused";
     case CallEnd::connect_failed:
       return "connect-failed";
     case CallEnd::no_connection:
--- a/node/core/counters.h
+++ b/node/core/counters.h
@@ -15,7 +15,7 @@
   X(news_received) X(news_unmatched) X(probes_sent) X(connections_accepted) X(connections_opened)        \
   X(connections_shed) X(connections_worn) X(answers_doubted)                                                                \
   X(connections_failed) X(accept_paused) X(lists_received) X(list_entries_malformed) X(watches_opened) X(watches_broken)           \
-  X(reloads) X(reloads_failed) X(drain_stage)                                                            \
+  X(list_leases_expired) X(invariant_violations) X(reloads) X(reloads_failed) X(drain_stage)                                                            \
   X(streams_opened) X(events_sent) X(events_dropped) X(slow_readers_closed)               \
   X(requests_rehomed) X(requests_spilled) X(requests_kept) X(keys_forgotten) X(log_dropped) X(admin_calls)   \
   X(moves_started) X(moves_undone) X(moves_done)                                                          \
--- a/node/core/engine.cpp
+++ b/node/core/engine.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "log/log.h"
+
 namespace keelflow {
 
 using reedlb::Result;
@@ -41,6 +43,7 @@
     lanes_.push_back(std::make_unique<Lane>(settings_, seed_ + lanes_.size() * 0x9e3779b97f4a7c15ull, shares_,
                                             clock_.unix_ms(timers_.now())));
     lanes_.back()->turns.grants(grants_);
+    if (!sends_allowed_) post(static_cast<int>(lanes_.size()) - 1, reedlb::SendPermission{false});
     if (!lives_.empty()) post(static_cast<int>(lanes_.size()) - 1, reedlb::Members{lives_});
   }
 }
@@ -57,6 +60,16 @@
   for (std::size_t i = 0; i < lanes_.size(); ++i) post(static_cast<int>(i), reedlb::Retune{settings, from});
 }
 
+void Engine::allow_sends(bool allowed) {
+  if (std::exchange(sends_allowed_, allowed) == allowed) return;
+  for (std::size_t i = 0; i < lanes_.size(); ++i) post(static_cast<int>(i), reedlb::SendPermission{allowed});
+}
+
+bool Engine::client_waits(RequestId id) const {
+  auto it = requests_.find(id);
+  return it != requests_.end() && it->second.asker;
+}
+
 void Engine::twin(std::function<void(const std::string&)> tell) {
   twin_ = std::move(tell);
   for (std::size_t i = 0; i < lanes_.size(); ++i) post(static_cast<int>(i), reedlb::Twin{twin_ != nullptr});
@@ -266,12 +279,29 @@
   TimePoint by = write_by(request);
   Attempt attempt{.worker = send.worker, .sent = now};
   attempt.timer = timers_.at(until, [this, ref] { recall(ref, true); });
+  operation_guard::Verdict verdict = may_repeat(request, send.worker);
   request.attempts.push_back(attempt);
   ++counters_.attempts_started;
   ++attempts_out_;
+  if (!verdict.allowed()) {
+    refusals_.count(operation_guard::Operation::repeat, verdict.reason());
+    log::warning(log::Subsystem::node, "repeat-forbidden", {{"id", request.job.id}, {"why", operation_guard::to_string(verdict.reason())}});
+    return attempt_ended(ref, {.ending = Ending::cancelled, .reach = Reach::never_written, .withheld = true});
+  }
   endpoints_->start(ref, send.worker, request.job, {.until = until, .write_by = by, .again = again});
 }
 
+operation_guard::Verdict Engine::may_repeat(const Request& request, WorkerId worker) const {
+  operation_guard::RepeatFacts facts{.effect = settings_.classes.at(static_cast<std::size_t>(request.job.cls)).effect,
+                                     .parallel_allowed = settings_.parallel_tries, .in_window = timers_.now() <= write_by(request)};
+  for (const Attempt& a : request.attempts) {
+    facts.earlier_out = facts.earlier_out || a.out;
+    facts.earlier_out_there = facts.earlier_out_there || (a.out && a.worker == worker);
+    facts.earlier_may_have_run = facts.earlier_may_have_run || a.may_have_run;
+  }
+  return operation_guard::may_repeat(facts);
+}
+
 // The module sends keyed work again only within its window. What it sends near the window's end may find its connection
 // up after it, when those who would know the repeat have forgotten the first.
 TimePoint Engine::write_by(const Request& request) const {
@@ -329,7 +359,8 @@
   // Where one attempt at a time is allowed, none may follow one that may run yet.
   bool may_run_yet = end.ending == Ending::unheard && !settings_.parallel_tries;
   if (outcome.result == Result::cancelled && (attempt->timed_out || may_run_yet)) outcome.result = Result::timeout;
-  attempt->may_have_run = outcome.result != Result::full && outcome.result != Result::connect_failed;
+  if (end.withheld) outcome.result = Result::moot;
+  attempt->may_have_run = outcome.result != Result::full && outcome.result != Result::connect_failed && outcome.result != Result::moot;
   outcome.elapsed_ms = to_ms(timers_.now() - attempt->sent);
   outcome.report = end.report;
   switch (outcome.result) {
--- a/node/core/engine.h
+++ b/node/core/engine.h
@@ -11,6 +11,7 @@
 #include "core/ports.h"
 #include "fleet/subsets.h"
 #include "fleet/turns.h"
+#include "operation_guard/operation_guard.h"
 
 namespace keelflow {
 
@@ -39,6 +40,12 @@
   // Settings that a running node takes over. Class numbers in use keep their meaning; `from`: see reedlb::Retune.
   void retune(const reedlb::Settings& settings, std::vector<int> from, Limits limits);
   bool class_in_use(int cls) const;
+  // While the list of endpoints may not be sent by, requests are held and nothing is sent.
+  void allow_sends(bool allowed);
+  // Whether its client still waits for its final answer.
+  bool client_waits(RequestId id) const;
+  const operation_guard::Refusals& refusals() const { return refusals_; }
+  void count_refusal(operation_guard::Operation operation, operation_guard::Reason reason) { refusals_.count(operation, reason); }
   // Requests of that pool that no endpoint was ever sent are routed again.
   void rehome(int pool);
 
@@ -112,6 +119,7 @@
   void count_end(const Request& request, FinalAnswer::Kind kind);
   void send(const reedlb::Send& send);
   TimePoint write_by(const Request& request) const;
+  operation_guard::Verdict may_repeat(const Request& request, WorkerId worker) const;
   void recall(AttemptRef ref, bool timed_out);
   void finish(RequestId id, FinalAnswer answer);
   void forget_if_over(RequestId id);
@@ -135,7 +143,8 @@
   std::unordered_map<RequestId, Request> requests_;
   std::unordered_map<std::string, RequestId> by_name_;  // of all in requests_
   std::deque<std::pair<int, reedlb::Event>> inbox_;
-  bool pumping_ = false, grants_ = true;
+  bool pumping_ = false, grants_ = true, sends_allowed_ = true;
+  operation_guard::Refusals refusals_;
   TimePoint last_answer_ = TimePoint::max();
   RequestId next_id_ = 1;
   std::size_t attempts_out_ = 0, pending_ = 0;
--- a/node/core/ports.h
+++ b/node/core/ports.h
@@ -55,6 +55,7 @@
 struct AttemptEnd {
   Ending ending = Ending::broken;
   Reach reach = Reach::never_written;
+  bool withheld = false;         // it waited for a list to be sent by, and nothing of it was written
   bool may_tell = false;         // the endpoint may have taken it, so that call-backs of it may still come
   std::string result = {};  // of `served`
   reedlb::LoadReport report = {};
--- a/node/discovery/destination_set.cpp
+++ b/node/discovery/destination_set.cpp
@@ -14,23 +14,33 @@
 using discovery::CallEnd;
 using log::Subsystem;
 constexpr Duration kStopped = 250ms;       // a watch's timer that is later than this was held up
-constexpr Duration kDistrustWithin = 1500ms;  // for a call that brings the list after that
+// An agent that answers none of so many calls, the first of them for so long, is taken to be out of service.
+constexpr std::uint64_t kSurveySeed = 0x5eed;
+constexpr std::size_t kSilentCalls = 8;
+constexpr Duration kSilentFor = 2s, kLeastSilence = 1s;
 
 }  // namespace
 
 DestinationSet::DestinationSet(net::EventLoop& loop, net::Address discovery, Names names, Listener listener,
                                Counters& counters, std::uint64_t seed)
     : loop_(loop), discovery_(discovery), names_(std::move(names)), listener_(std::move(listener)),
-      counters_(counters), random_(static_cast<std::minstd_rand::result_type>(seed ^ seed >> 32)), schedule_({}) {}
+      counters_(counters), random_(static_cast<std::minstd_rand::result_type>(seed ^ seed >> 32)), schedule_({}), lease_({}),
+      survey_(loop, seed ^ kSurveySeed, [this] { return watch_ && !overdue(); }, [this] { lease_changed(); }) {}
 
 DestinationSet::~DestinationSet() {
-  loop_.cancel(trust_);
+  loop_.cancel(lease_end_);
   stop();
 }
 
-void DestinationSet::start(const discovery::CallPolicy& policy) {
+void DestinationSet::change(const discovery::CallPolicy& policy, const discovery::LeaseTerms& terms) {
   schedule_.change(policy);
-  distrust();  // a list from before the start may be of any age
+  lease_.change(terms);
+  pushed_ = policy.pushed;
+}
+
+void DestinationSet::start(const discovery::CallPolicy& policy, const discovery::LeaseTerms& terms) {
+  change(policy, terms);
+  if (on_lease) on_lease(false);  // a list from before the start may be of any age
   schedule_.watch_lost(loop_.now(), draw());
   wait_for_next_call();
 }
@@ -58,6 +68,8 @@
   if (discovery == discovery_ && !calls_.empty()) return;
   discovery_ = discovery;
   any_version_ = true;
+  lease_.discovery_moved(loop_.now());
+  lease_changed();
   stop();
   schedule_.call_now(loop_.now());
   call();
@@ -71,6 +83,11 @@
 }
 
 void DestinationSet::call() {
+  if (agent_is_silent()) {
+    auto newest = std::find_if(calls_.rbegin(), calls_.rend(), [this](const auto& call) { return loop_.now() - call->began() >= kLeastSilence; });
+    lease_.unreachable_as_of((*newest)->began());
+    lease_changed();
+  }
   if (calls_.size() >= schedule_.most_calls()) give_up(calls_.begin());
   ++counters_.watches_opened;
   schedule_.call_began(loop_.now(), draw());
@@ -80,7 +97,8 @@
   log::info(Subsystem::discovery, "call-begins", {{"call", begun.number()}, {"since", version_}, {"open", std::uint64_t{calls_.size()}}});
   bool connects = begun.begin(discovery_);
   if (!connects && (errno == EMFILE || errno == ENFILE) && on_pressure && on_pressure()) connects = begun.begin(discovery_);
-  if (!connects) failed(std::prev(calls_.end()), CallEnd::connect_failed);
+  if (!connects) failed(std::prev(calls_.end()), errno == ECONNREFUSED ? CallEnd::connect_refused : CallEnd::connect_failed);
+  lease_changed();
   wait_for_next_call();
 }
 
@@ -88,28 +106,52 @@
   return watch_ && loop_.now() > last_heard_ + discovery::kHeartbeatTimeout + kStopped;
 }
 
-bool DestinationSet::trusted() {
-  bool is = loop_.now() >= distrusted_until_ && !overdue();
-  was_distrusted_ = was_distrusted_ || !is;
-  return is;
+bool DestinationSet::may_send_by_list() {
+  bool may = loop_.now() < may_send_until() && !overdue();
+  withheld_ = withheld_ || !may;
+  return may;
 }
 
-void DestinationSet::distrust() {
-  distrusted_until_ = loop_.now() + kDistrustWithin;
-  loop_.cancel(trust_);
-  trust_ = loop_.at(distrusted_until_, [this] { heard(); });
+TimePoint DestinationSet::may_send_until() const {
+  auto outage = was_complete_ && !watch_ ? survey_.presumption().until(loop_.now()) : std::nullopt;
+  return std::max(lease_.until(), outage.value_or(TimePoint::min()));
 }
 
-void DestinationSet::heard() {
+void DestinationSet::heard(const DiscoveryCall& call) {
   last_heard_ = loop_.now();
-  distrusted_until_ = {};
-  if (std::exchange(was_distrusted_, false) && on_trusted) on_trusted();
+  was_complete_ = true;
+  survey_.presumption().end();
+  lease_.current_as_of(call.written_after());
+  lease_changed();
+}
+
+void DestinationSet::lease_changed() {
+  loop_.cancel(lease_end_);
+  survey_.run(watch_ == nullptr);
+  TimePoint until = may_send_until();
+  bool runs = loop_.now() < until;
+  if (runs) lease_end_ = loop_.at(until, [this] { lease_changed(); });
+  bool was_withheld = runs && std::exchange(withheld_, false);
+  if (std::exchange(lease_runs_, runs) != runs) {
+    counters_.list_leases_expired += !runs;
+    log::info(Subsystem::discovery, runs ? "lease-runs" : "lease-expired", {{"version", version_}, {"calls", std::uint64_t{calls_.size()}}, {"watch", watch_ != nullptr}});
+  } else if (!was_withheld) {
+    return;
+  }
+  if (on_lease) on_lease(runs);
 }
 
+// Lists are pushed by an agent on this machine, which answers at once while it has anything to tell.
+bool DestinationSet::agent_is_silent() const {
+  if (!pushed_ || calls_.size() < kSilentCalls || loop_.now() - calls_.front()->began() < kSilentFor) return false;
+  return std::all_of(calls_.begin(), calls_.end(), [](const auto& call) { return call->connected() && call->status() == 0; });
+}
+
+// Before its first object a call may yet have something to tell, whatever keeps it alive.
 void DestinationSet::on_heartbeat(DiscoveryCall& call) {
-  if (watch_ != &call) log::info(Subsystem::discovery, "heartbeat-first", {{"call", call.number()}, {"after_ms", to_ms(loop_.now() - call.began())}});
+  if (!call.has_brought_object()) return log::info(Subsystem::discovery, "heartbeat-before-list", {{"call", call.number()}});
   establish(call);
-  heard();
+  heard(call);
 }
 
 void DestinationSet::on_accepted(DiscoveryCall& call) {
@@ -145,7 +187,7 @@
     any_version_ = false;
     establish(call);
     take(list, list.whole ? reedlb::ListScope::full : reedlb::ListScope::delta);
-    heard();
+    heard(call);
     return true;
   } catch (const std::exception&) {
     return false;
@@ -162,9 +204,11 @@
   bool was_stopped = watch_ == &call && overdue();
   failed(std::find_if(calls_.begin(), calls_.end(), [&](const auto& one) { return one.get() == &call; }), how);
   if (was_stopped) {
-    distrust();
+    lease_.revoke();
+    was_complete_ = false;
     schedule_.call_now(loop_.now());
   }
+  lease_changed();
   wait_for_next_call();
 }
 
@@ -172,8 +216,22 @@
   failed(call, (*call)->connected() ? CallEnd::unanswered : CallEnd::no_connection);
 }
 
+void DestinationSet::on_not_acknowledged(DiscoveryCall& call) {
+  log::info(Subsystem::discovery, "call-not-acknowledged", {{"call", call.number()}});
+  lease_.unreachable_as_of(call.began());
+  lease_changed();
+}
+
+// What the end of a call proves of the list; `lease_changed` follows.
+void DestinationSet::note_end(const DiscoveryCall& call, CallEnd how) {
+  if (how == CallEnd::refused) survey_.presumption().call_refused(call.began(), loop_.now());
+  if (how == CallEnd::connect_refused) lease_.unreachable_as_of(call.began());
+  if (watch_ == &call && how != CallEnd::silent) lease_.watch_closed(loop_.now());
+}
+
 void DestinationSet::failed(Calls::iterator call, CallEnd how) {
   bool was_watch = watch_ == call->get();
+  note_end(**call, how);
   close_call(call, how);
   ++counters_.watches_broken;
   ++counters_.lists_received;
--- a/node/discovery/destination_set.h
+++ b/node/discovery/destination_set.h
@@ -13,6 +13,8 @@
 #include "discovery/call_schedule.h"
 #include "discovery/discovery_call.h"
 #include "discovery/host_list.h"
+#include "discovery/list_lease.h"
+#include "discovery/watch_survey.h"
 
 namespace keelflow {
 
@@ -36,20 +38,20 @@
   std::function<void()> on_watching;  // discovery has taken a call: what has changed comes next, if anything has
   std::function<bool()> on_pressure;  // called when descriptors are short; true if it freed one
 
-  void start(const discovery::CallPolicy& policy);
+  void start(const discovery::CallPolicy& policy, const discovery::LeaseTerms& terms);
   // From now on; a watch that is open stays.
-  void change(const discovery::CallPolicy& policy) { schedule_.change(policy); }
+  void change(const discovery::CallPolicy& policy, const discovery::LeaseTerms& terms);
   // Another discovery serves from now on. The list and its version are kept, and the new one is asked for what
   // came after them.
   void move(const net::Address& discovery);
   void stop();
   void names(Names names) { names_ = std::move(names); }  // from the next list on
   void disable(WorkerId worker, bool disabled);           // administrative override
+  WatchSurvey& survey() { return survey_; }
 
-  // False: the process has just started or was stopped, so that its list may be older than any that counts as told. Nothing is to be sent
-  // before `on_trusted`, which follows once a call has brought the list, or soon in any case: discovery may be away.
-  bool trusted();
-  std::function<void()> on_trusted;
+  // Whether the list may be sent by at this moment: its lease runs, and the process was not stopped since it last looked.
+  bool may_send_by_list();
+  std::function<void(bool may_send)> on_lease;  // it has run out, or runs (again): what waited may go on
 
   // An endpoint stays known for the process's life: jobs it has are still cancelled there when it left the list.
   const Destination* find(WorkerId worker) const;
@@ -60,13 +62,17 @@
   void on_accepted(DiscoveryCall& call) override;
   bool on_object(DiscoveryCall& call, const std::string& text) override;
   void on_heartbeat(DiscoveryCall& call) override;
+  void on_not_acknowledged(DiscoveryCall& call) override;
   void on_failed(DiscoveryCall& call, discovery::CallEnd how) override;
 
   void call();
   void wait_for_next_call();
   bool overdue() const;  // the watch, by more than its timer lets it be
-  void distrust();
-  void heard();
+  void heard(const DiscoveryCall& call);
+  void lease_changed();
+  TimePoint may_send_until() const;
+  bool agent_is_silent() const;
+  void note_end(const DiscoveryCall& call, discovery::CallEnd how);
   void establish(DiscoveryCall& call);
   void close_call(Calls::iterator call, discovery::CallEnd how);
   void failed(Calls::iterator call, discovery::CallEnd how);
@@ -87,9 +93,14 @@
   Calls calls_;  // oldest first
   std::uint64_t calls_begun_ = 0;
   DiscoveryCall* watch_ = nullptr;  // the one of them that has brought something
-  TimerId next_call_ = 0, trust_ = 0;
-  TimePoint last_heard_, distrusted_until_;
-  bool was_distrusted_ = false;  // `trusted` has said so, and `on_trusted` is owed
+  discovery::ListLease lease_;
+  WatchSurvey survey_;
+  bool was_complete_ = false;  // the list, at some moment of this process' life
+  bool pushed_ = false;
+  TimerId next_call_ = 0, lease_end_ = 0;
+  TimePoint last_heard_;
+  bool lease_runs_ = false;  // as `on_lease` was told last
+  bool withheld_ = false;    // a send was, while the lease ran: `on_lease` is owed
   std::uint64_t version_ = 0;
   bool has_list_ = false;
   bool any_version_ = true;  // the next object counts whatever its version: its discovery is new to us
--- a/node/discovery/discovery_call.cpp
+++ b/node/discovery/discovery_call.cpp
@@ -1,5 +1,6 @@
 #include "discovery/discovery_call.h"
 
+#include <cerrno>
 #include <utility>
 
 #include "discovery/call_schedule.h"
@@ -8,6 +9,7 @@
 namespace {
 
 using namespace std::chrono_literals;
+constexpr Duration kAcknowledgedWithin = 1s;  // for a connection to come up
 constexpr Duration kObjectTimeout = 2s;  // on a watch, from an object's first byte to its last
 constexpr std::size_t kMostObject = 4 * 1024 * 1024;
 
@@ -22,14 +24,20 @@
 
 DiscoveryCall::~DiscoveryCall() { close(); }
 
-bool DiscoveryCall::begin(const net::Address& discovery) { return connection_.connect(discovery); }
+bool DiscoveryCall::begin(const net::Address& discovery) {
+  if (!connection_.connect(discovery)) return false;
+  acknowledgement_ = loop_.at(loop_.now() + kAcknowledgedWithin, [this] { owner_.on_not_acknowledged(*this); });
+  return true;
+}
 
 void DiscoveryCall::close() {
   loop_.cancel(silence_);
+  loop_.cancel(acknowledgement_);
   connection_.close();
 }
 
 void DiscoveryCall::on_connected() {
+  loop_.cancel(acknowledgement_);
   connection_.send("GET /discovery/hosts?follow=1" + since_ + " HTTP/1.1\r\nHost: " + connection_.dial().text() + "\r\n\r\n");
 }
 
@@ -41,7 +49,9 @@
 }
 
 void DiscoveryCall::on_broken() {
-  owner_.on_failed(*this, connected() ? discovery::CallEnd::closed : discovery::CallEnd::connect_failed);
+  using discovery::CallEnd;
+  CallEnd not_connected = connection_.error() == ECONNREFUSED ? CallEnd::connect_refused : CallEnd::connect_failed;
+  owner_.on_failed(*this, connected() ? CallEnd::closed : not_connected);
 }
 
 void DiscoveryCall::on_body(std::string_view bytes) {
--- a/node/discovery/discovery_call.h
+++ b/node/discovery/discovery_call.h
@@ -1,6 +1,7 @@
 // One call to discovery for the list and its changes. It becomes the watch once it has brought something.
 #pragma once
 
+#include <algorithm>
 #include <functional>
 #include <string>
 
@@ -19,6 +20,7 @@
     // One whole JSON object. False: it is no list, and the call is of no use.
     virtual bool on_object(DiscoveryCall& call, const std::string& text) = 0;
     virtual void on_heartbeat(DiscoveryCall& call) = 0;
+    virtual void on_not_acknowledged(DiscoveryCall& call) = 0;  // its connection does not come up; it goes on trying
     virtual void on_failed(DiscoveryCall& call, discovery::CallEnd how) = 0;  // last call
   };
 
@@ -35,6 +37,9 @@
   TimePoint began() const { return began_; }
   bool connected() const { return connection_.connected(); }
   int status() const { return status_; }  // of the answer; 0: none yet
+  bool has_brought_object() const { return frames_.count() > 0; }
+  // Not later than what is being read was written.
+  TimePoint written_after() const { return std::max(began_, connection_.readable_since()); }
   bool asked_for_all() const { return since_.empty(); }
   bool at_first_object() const { return frames_.count() == 1; }  // within `on_object`
 
@@ -55,7 +60,7 @@
   ClientConnection connection_;
   ValueFrames frames_;
   TimePoint object_begun_;  // of the one that is not complete yet
-  TimerId silence_ = 0;
+  TimerId silence_ = 0, acknowledgement_ = 0;
   bool accepted_ = false, established_ = false;
 };
 
--- a/node/inbound/platform_front.cpp
+++ b/node/inbound/platform_front.cpp
@@ -149,7 +149,8 @@
 std::unique_ptr<Exchange> PlatformFront::on_request(InboundConnection& connection, HttpRequest request) {
   std::string_view path = request.head.path();
   auto plain = [&](int status, std::string_view text) { return connection.respond(status, text), nullptr; };
-  if (path == "/up") return plain(request.head.method == "GET" ? 200 : 405, "up\n");
+  if (path == "/up" && request.head.method != "GET") return plain(405, "up\n");
+  if (path == "/up") return ready && !ready() ? plain(503, "waits for the list of endpoints\n") : plain(200, "up\n");
   if (path == "/counters" && request.head.method == "GET") {
     counters_.log_dropped = log::dropped();
     return plain(200, counters_.text());
--- a/node/inbound/platform_front.h
+++ b/node/inbound/platform_front.h
@@ -31,6 +31,7 @@
 
   std::unique_ptr<Exchange> on_request(InboundConnection& connection, HttpRequest request) override;
   void on_malformed() override { ++counters_.requests_rejected; }
+  std::function<bool()> ready;  // whether `GET /up` says so; empty: it does
   // Of a call-back that fits no attempt here: whether whoever may own it has been told, or there is nobody else.
   std::function<bool(const std::string& body)> pass_news;
   // The limit on connections: what comes over it is refused before the Engine sees it.
--- a/node/net/connection.cpp
+++ b/node/net/connection.cpp
@@ -101,7 +101,7 @@
   }
   // What the peer sent before it went away is read before its going is reported.
   if (events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) {
-    readable_ = true;
+    if (!std::exchange(readable_, true)) readable_since_ = loop_.last_look();
     hung_up_ = hung_up_ || (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR));
     if (!waits_turn_) read();
   }
--- a/node/net/connection.h
+++ b/node/net/connection.h
@@ -41,6 +41,8 @@
   bool quiet() const;  // open, and the peer has neither sent nor ended anything that is still unread
   bool unread() const;  // open, and bytes of the peer wait to be read
   bool connected() const { return connected_; }
+  // Not later than the arrival of any byte that is being read.
+  TimePoint readable_since() const { return readable_since_; }
   bool peer_ended() const { return hung_up_; }  // told by the kernel, perhaps ahead of bytes that are still to be read
   std::size_t pending() const { return out_.size() - out_at_; }
   std::uint64_t written() const { return written_; }  // bytes that the kernel has taken
@@ -60,6 +62,7 @@
   std::uint64_t registration_ = 0;
   bool connected_ = false, paused_ = false, readable_ = false, close_when_flushed_ = false,
        lingering_ = false, waits_turn_ = false, hung_up_ = false, preferred_ = false, adopted_ = false;
+  TimePoint readable_since_{};
   std::string out_;
   std::size_t out_at_ = 0, dropped_ = 0;
   std::uint64_t written_ = 0;
--- a/node/net/event_loop.cpp
+++ b/node/net/event_loop.cpp
@@ -54,6 +54,7 @@
       auto it = handlers_.find(registration);
       if (it != handlers_.end()) it->second->on_turn();
     }
+    if (count >= 0 && static_cast<std::size_t>(count) < kMostEvents) last_look_ = waits_from;
     // The process was stopped, or had no processor: what has arrived meanwhile is read before its timers say that it did not.
     bool was_late = timeout >= 0 && now() > waits_from + std::chrono::milliseconds(timeout) + kLate;
     was_late = was_late || count < 0;
--- a/node/net/event_loop.h
+++ b/node/net/event_loop.h
@@ -50,6 +50,9 @@
   void next_turn(std::uint64_t registration) { unfinished_.push_back(registration); }
 
   TimePoint now() const override { return Clock::now(); }
+  // When the last look at all sockets before the present turn's began: what is found to be readable in this turn and had
+  // been read to its end came after that, however long the process was stopped in between.
+  TimePoint last_look() const { return last_look_; }
   TimerId at(TimePoint when, std::function<void()> task) override { return timers_.add(when, std::move(task)); }
   void cancel(TimerId id) override { timers_.cancel(id); }
   // Runs the task after the events in hand, before the loop sleeps.
@@ -71,10 +74,10 @@
   void handle(std::span<const epoll_event> events);
   void sort(std::span<const epoll_event> events);
 
-
   int epoll_;
   std::uint64_t last_ = 0;
   bool stopped_ = false;
+  TimePoint last_look_ = Clock::now();
   bool skipped_ = false;  // the last turn ran no timers
   std::unordered_map<std::uint64_t, Handler*> handlers_;
   TimerQueue timers_;
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -43,6 +43,7 @@
 constexpr Duration kDrainCheck = 20ms;
 constexpr Duration kRetryAddress = 50ms;
 constexpr Duration kListArrives = 30ms;
+constexpr Duration kListBeforeReady = 4s;
 constexpr std::size_t kAdminConnections = 6;
 
 struct Budget {  // of descriptors, shared by all sockets of the process
@@ -67,6 +68,10 @@
   return {.pushed = !settings.ask_list, .processes = settings.dispatchers};
 }
 
+discovery::LeaseTerms lease_terms(const reedlb::Settings& settings) {
+  return {.pushed = !settings.ask_list, .drain_grace = from_ms(settings.drain_grace_ms), .ask_within = from_ms(settings.ask_within_ms)};
+}
+
 sigset_t signals() {
   sigset_t set;
   sigemptyset(&set);
@@ -86,7 +91,7 @@
         outbound_(loop_, engine_, destinations_, pool_, {config_.connect_timeout, config_.report_names}, counters_),
         peers_(loop_, config_.peers, config_.settings.rank,
                [this](int peer, const std::string& bytes) {
-                 if (!members_.hear(peer, bytes)) engine_.told(peer, bytes);
+                 if (!destinations_.survey().hear(peer, bytes) && !members_.hear(peer, bytes)) engine_.told(peer, bytes);
                }, counters_),
         members_(loop_, clock_, peers_, engine_, counters_),
         plugins_({.loop = loop_, .clock = clock_, .names = config_.names, .classes = config_.settings.classes, .seed = config_.seed}, engine_, counters_),
@@ -105,11 +110,14 @@
     server_.on_pressure = [this] { return pool_.free_one(); };
     destinations_.on_watching = [this] { watching(); };
     destinations_.known(config_.known);
-    destinations_.on_trusted = [this] { outbound_.list_trusted(); };
+    destinations_.on_lease = [this](bool may_send) { on_list_lease(may_send); };
     destinations_.on_pressure = server_.on_pressure;
-    destinations_.start(call_policy(config_.settings));
+    if (config_.peer_listen && config_.settings.peers) destinations_.survey().connect(&peers_, config_.settings.dispatchers, config_.settings.rank);
+    destinations_.start(call_policy(config_.settings), lease_terms(config_.settings));
     signals_.open();
     if (config_.admin) open_operators();
+    // A process that may send nothing yet leaves clients to those that may, for a while: discovery may be away.
+    front_.ready = [this, latest = loop_.now() + kListBeforeReady] { return was_ready_ || loop_.now() >= latest; };
     front_.pass_news = [this](const std::string& body) { return !handover_ || handover_->pass_news(body); };
     if (config_.listen_fd >= 0) take_over_from_elder();
     else serve();
@@ -261,6 +269,12 @@
     if (!serving_ && !learned_.empty()) engine_.learn(learned_);
   }
 
+  void on_list_lease(bool may_send) {
+    was_ready_ = was_ready_ || may_send;
+    engine_.allow_sends(may_send);
+    if (may_send) outbound_.resume_withheld();
+  }
+
   // What discovery has to tell follows at once, in this turn of the loop or the next.
   void watching() {
     if (!succession_ || serving_) return;
@@ -402,7 +416,7 @@
     outbound_.retune({config_.connect_timeout, config_.report_names});
     pool_.keep(config_.idle_limit * 6 / 10);
     destinations_.names(config_.names);
-    destinations_.change(call_policy(config_.settings));
+    destinations_.change(call_policy(config_.settings), lease_terms(config_.settings));
     destinations_.move(config_.discovery);
   }
 
@@ -482,6 +496,7 @@
   std::optional<handover::Succession> succession_;  // where the platform lends the listening socket
   std::vector<reedlb::Knowledge> learned_;          // by the process before us
   bool serving_ = false, successor_ = false;
+  bool was_ready_ = false;  // it had a list that could be sent by
   Signals signals_;
 };
 
--- a/node/outbound/client_connection.cpp
+++ b/node/outbound/client_connection.cpp
@@ -4,7 +4,13 @@
 
 namespace keelflow {
 
-void ClientConnection::send(const std::string& request, std::size_t held_back) {
+void ClientConnection::send_job(operation_guard::SendPermit, const std::string& request, std::size_t held_back) {
+  write_request(request, held_back);
+}
+
+void ClientConnection::send_rest(operation_guard::SendPermit, std::string_view rest) { connection_.write(rest); }
+
+void ClientConnection::write_request(const std::string& request, std::size_t held_back) {
   from_ = connection_.written() + connection_.pending();
   size_ = request.size();
   connection_.write(std::string_view(request).substr(0, size_ - held_back));
@@ -38,7 +44,8 @@
   if (user_) user_->on_complete(keep_alive_ && connection_.open());
 }
 
-void ClientConnection::on_closed(int) {
+void ClientConnection::on_closed(int error) {
+  error_ = error;
   if (parser_.finish(*this) && !user_) return;
   broken();
 }
--- a/node/outbound/client_connection.h
+++ b/node/outbound/client_connection.h
@@ -6,6 +6,7 @@
 #include "core/ports.h"
 #include "net/connection.h"
 #include "net/http.h"
+#include "operation_guard/operation_guard.h"
 
 namespace keelflow {
 
@@ -29,9 +30,12 @@
   bool connect(const net::Address& to) { return dial_ = to, connection_.connect(to); }
   void prefer() { connection_.prefer(); }  // before `connect`
   void attach(User* user) { user_ = user; }
-  // The last `held_back` bytes of the request go out with `send_rest`.
-  void send(const std::string& request, std::size_t held_back = 0);
-  void send_rest(std::string_view rest) { connection_.write(rest); }
+  // A request to run something, which the operation guard has permitted at this moment. Its last `held_back` bytes go out
+  // with `send_rest`.
+  void send_job(operation_guard::SendPermit permit, const std::string& request, std::size_t held_back);
+  void send_rest(operation_guard::SendPermit permit, std::string_view rest);
+  // One that runs nothing: a probe, the end of a job, a call to discovery.
+  void send(const std::string& request) { write_request(request, 0); }
   void allow_stream() { parser_.allow_stream(); }
   void close() { user_ = nullptr, connection_.close(); }
 
@@ -39,6 +43,8 @@
   bool quiet() const { return connection_.quiet(); }
   bool connected() const { return connection_.connected(); }
   const net::Address& dial() const { return dial_; }
+  int error() const { return error_; }  // of a connection that is over, as errno; 0: it was closed in order
+  TimePoint readable_since() const { return connection_.readable_since(); }
   Reach reach() const;  // of the exchange in hand
   // How long it had stood idle before it was taken for this one; zero: it is new.
   Duration stood() const { return stood_; }
@@ -59,6 +65,7 @@
   }
   void on_complete() override;
   void broken();
+  void write_request(const std::string& request, std::size_t held_back);
 
   net::Connection connection_;
   net::HttpParser parser_;
@@ -67,6 +74,7 @@
   Duration stood_{};
   std::uint64_t from_ = 0, size_ = 0;  // the request in hand, in bytes of the connection
   bool keep_alive_ = true, interim_ = false;
+  int error_ = 0;
 };
 
 }  // namespace keelflow
--- a/node/outbound/outbound.cpp
+++ b/node/outbound/outbound.cpp
@@ -90,11 +90,11 @@
   raw->begin(*to);
 }
 
-void Outbound::list_trusted() {
+void Outbound::resume_withheld() {
   std::vector<std::pair<RequestId, int>> all;
   for (const auto& [ref, call] : calls_) all.push_back(ref);
   for (const auto& ref : all)
-    if (auto it = calls_.find(ref); it != calls_.end()) it->second->list_trusted();
+    if (auto it = calls_.find(ref); it != calls_.end()) it->second->resume_withheld();
 }
 
 bool Outbound::news(const News& news) {
--- a/node/outbound/outbound.h
+++ b/node/outbound/outbound.h
@@ -45,7 +45,7 @@
 
   void retune(Settings settings) { settings_ = std::move(settings); }
 
-  void list_trusted();  // attempts that waited for the list go on
+  void resume_withheld();  // attempts that waited for a list to be sent by go on
 
   // A call-back is believed only if its id, its sender and a running attempt fit; others change nothing.
   // False: of no attempt that this process has.
--- a/node/outbound/outbound_call.cpp
+++ b/node/outbound/outbound_call.cpp
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "log/log.h"
 #include "outbound/load_report.h"
 
 namespace keelflow {
@@ -47,17 +48,33 @@
   write_request();
 }
 
-void OutboundCall::list_trusted() {
+void OutboundCall::resume_withheld() {
   if (std::exchange(waits_for_list_, false) && state_ == State::connecting) write_request();
 }
 
+// What holds at this moment: the connection may have come up late.
+operation_guard::SendVerdict OutboundCall::may_send() const {
+  TimePoint now = owner_.loop_.now();
+  const Destination* endpoint = owner_.destinations_.find(worker_);
+  return operation_guard::may_send({.list_lease_valid = owner_.destinations_.may_send_by_list(),
+                                    .endpoint_ready = endpoint && endpoint->accepts_new_work(),
+                                    .same_address = endpoint && endpoint->dial == dial_,
+                                    .client_waits = owner_.engine_.client_waits(ref_.request),
+                                    .in_window = now <= terms_.write_by,
+                                    .time_left = terms_.until - now});
+}
+
+void OutboundCall::withhold(operation_guard::Reason reason) {
+  owner_.engine_.count_refusal(operation_guard::Operation::send, reason);
+  log::info(log::Subsystem::node, "send-forbidden", {{"id", payload_->id}, {"host", host_}, {"why", operation_guard::to_string(reason)}});
+}
+
 void OutboundCall::write_request() {
-  waits_for_list_ = !owner_.destinations_.trusted();
+  auto verdict = may_send();
+  waits_for_list_ = verdict.reason() == operation_guard::Reason::list_lease_expired;
+  if (!verdict.allowed()) withhold(verdict.reason());
   if (waits_for_list_) return;
-  // It may have come up late: from a drain that was told meanwhile on, or the end of the window, not even a first byte
-  // goes there.
-  const Destination* still = owner_.destinations_.find(worker_);
-  if (!still || !still->accepts_new_work() || still->dial != dial_ || owner_.loop_.now() > terms_.write_by) return on_broken();
+  if (!verdict.allowed()) return on_broken();
   state_ = State::asked;
   auto left = std::chrono::floor<std::chrono::milliseconds>(terms_.until - owner_.loop_.now()).count();
   const Payload& p = *payload_;
@@ -66,18 +83,27 @@
   if (wants_progress_) request += "Accept: text/event-stream\r\n";
   request += "X-Expires-In-Ms: " + std::to_string(std::max<std::int64_t>(1, left)) + "\r\n";
   request += "Content-Length: " + std::to_string(p.body.size()) + "\r\n\r\n" + p.body;
-  connection_->send(request, once_ ? 1 : 0);
+  connection_->send_job(verdict.permit(), request, once_ ? 1 : 0);
   if (once_) {
     rest_ = request.back();
     timer_ = owner_.loop_.at(owner_.loop_.now() + kSettle, [this] { write_rest(); });
     return;
   }
-  write_rest();
+  watch_connection();
 }
 
+// Without its last byte it never runs.
 void OutboundCall::write_rest() {
-  if (owner_.loop_.now() > terms_.write_by) return on_broken();  // without its last byte it never runs
-  connection_->send_rest(std::exchange(rest_, {}));
+  auto verdict = may_send();
+  if (!verdict.allowed()) {
+    withhold(verdict.reason());
+    return on_broken();
+  }
+  connection_->send_rest(verdict.permit(), std::exchange(rest_, {}));
+  watch_connection();
+}
+
+void OutboundCall::watch_connection() {
   // A machine that is cut off leaves connections open and says nothing. What is written to another of them may have
   // run and can often not be repeated; on a new connection, which never comes up, it has not.
   timer_ = owner_.loop_.at(owner_.loop_.now() + owner_.settings_.connect_timeout,
@@ -252,7 +278,7 @@
   reached_ = reach();
   // It is deleted at the end of the turn only: a connection that comes up in this same turn must find nothing to write.
   owner_.pool_.discard(std::move(connection_));
-  owner_.ended(*this, {.ending = ending, .reach = reach(), .may_tell = !refused && reach() >= Reach::fully_written,
+  owner_.ended(*this, {.ending = ending, .reach = reach(), .withheld = waits_for_list_, .may_tell = !refused && reach() >= Reach::fully_written,
                        .result = std::move(result), .report = report});
 }
 
--- a/node/outbound/outbound_call.h
+++ b/node/outbound/outbound_call.h
@@ -18,7 +18,7 @@
   void give_up();
   bool unsent() const { return reach() < Reach::fully_written; }
   void news(const News& news);
-  void list_trusted();
+  void resume_withheld();
   AttemptRef ref() const { return ref_; }
   const std::string& host() const { return host_; }
   const std::string& id() const { return payload_->id; }
@@ -33,8 +33,11 @@
   void on_complete(bool reusable) override;
   void on_broken() override;
 
+  operation_guard::SendVerdict may_send() const;
+  void withhold(operation_guard::Reason reason);
   void write_request();
   void write_rest();
+  void watch_connection();
   void answered();
   void cut_off();
   void call_off(Ending ending);
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -60,7 +60,7 @@
   std::set<WorkerId> tried;  // while a job is picked for: who had it before
   Time next_dispatch = 0;  // when a sample that missed is tried again
 
-  bool subscribed = false, asking = false, twin = false;
+  bool subscribed = false, asking = false, twin = false, may_release = true;
   double ask_backoff = 0;
 
   Impl(const Settings& settings, std::uint64_t seed, std::shared_ptr<TenantShares> given)
@@ -254,6 +254,7 @@
   // Releases held jobs, smallest corrected budget over all classes first. A class whose first few do not fit
   // is passed over until something changes; a sample that missed is tried again soon.
   void dispatch() {
+    if (!may_release) return;
     for (int late : {0, 1}) {
       if (late && crowding > kCrowded) break;
       std::vector<bool> blocked(classes.size(), false);
@@ -641,6 +642,7 @@
   }
 
   void on(const Twin& e) { twin = e.here; }
+  void on(const SendPermission& e) { may_release = e.allowed; }
   void on(const Members& e) { dead = static_cast<int>(std::count(e.lives.begin(), e.lives.end(), false)); }
 
   void on(const Homes& e) {
