An independent monitor counts violations at run time; the guard decides closes and starts too

The guard is asked before idle connections are closed and before a request is taken after the last answer; /status shows what was forbidden and violated.

--- a/node/core/engine.cpp
+++ b/node/core/engine.cpp
@@ -164,6 +164,15 @@
 std::optional<RequestId> Engine::take(Job job, Asker& asker) {
   if (by_name_.contains(job.id)) return std::nullopt;
   RequestId id = next_id_++;
+  auto phase = last_answer_ <= timers_.now() ? operation_guard::Phase::ended : operation_guard::Phase::serving;
+  auto verdict = operation_guard::may_start({.phase = phase, .client_waits = true});
+  if (!verdict.allowed()) {  // nobody would be there to answer it any more
+    refusals_.count(operation_guard::Operation::start, verdict.reason());
+    ++counters_.answers_refused;
+    ++figures_.at(static_cast<std::size_t>(job.cls))->rejected;
+    asker.on_final({.kind = FinalAnswer::Kind::refused, .retry_after = std::chrono::seconds(1)});
+    return id;
+  }
   if (by_name_.size() >= limits_.most_held) {  // the platform's own cap; the module never sees these
     ++counters_.answers_refused;
     ++figures_.at(static_cast<std::size_t>(job.cls))->rejected;
@@ -173,6 +182,7 @@
   ++counters_.requests_taken;
   ++pending_;
   TimePoint now = timers_.now();
+  if (monitor_) monitor_->request_read(job.id, job.patience, now);
   if (job.patience > last_answer_ - now) job.patience = std::max(Duration::zero(), last_answer_ - now);
   job.once = settings_.classes.at(static_cast<std::size_t>(job.cls)).effect != reedlb::Effect::safe;
   by_name_.emplace(job.id, id);
@@ -256,6 +266,7 @@
   --pending_;
   it->second.asker = nullptr;
   tell_end(it->second, RoutePort::End::gone);
+  if (monitor_) monitor_->client_left(it->second.job.id, timers_.now()), monitor_->request_over(it->second.job.id);
   if (it->second.screening) {
     screen_->forget(id);
     return forget_if_over(id);
@@ -288,7 +299,7 @@
     log::warning(log::Subsystem::node, "repeat-forbidden", {{"id", request.job.id}, {"why", operation_guard::to_string(verdict.reason())}});
     return attempt_ended(ref, {.ending = Ending::cancelled, .reach = Reach::never_written, .withheld = true});
   }
-  endpoints_->start(ref, send.worker, request.job, {.until = until, .write_by = by, .again = again});
+  endpoints_->start(ref, send.worker, request.job, {.until = until, .write_by = by, .effect = settings_.classes.at(static_cast<std::size_t>(request.job.cls)).effect, .again = again});
 }
 
 operation_guard::Verdict Engine::may_repeat(const Request& request, WorkerId worker) const {
@@ -458,6 +469,7 @@
   tell_end(it->second, answer.kind == FinalAnswer::Kind::served    ? RoutePort::End::served
                        : answer.kind == FinalAnswer::Kind::refused ? RoutePort::End::refused
                                                                    : RoutePort::End::failed);
+  if (monitor_) monitor_->request_over(it->second.job.id);
   asker->on_final(std::move(answer));
   forget_if_over(id);
 }
--- a/node/core/engine.h
+++ b/node/core/engine.h
@@ -11,6 +11,7 @@
 #include "core/ports.h"
 #include "fleet/subsets.h"
 #include "fleet/turns.h"
+#include "invariants/monitor.h"
 #include "operation_guard/operation_guard.h"
 
 namespace keelflow {
@@ -25,6 +26,7 @@
   Engine(const reedlb::Settings& settings, std::uint64_t seed, Limits limits, TimerPort& timers,
          const UnixClock& clock, Counters& counters);
   void connect(EndpointPort& endpoints) { endpoints_ = &endpoints; }
+  void observe(invariants::Monitor* monitor) { monitor_ = monitor; }
   void peers(PeerPort* peers) { peers_ = peers; }  // null: what the module would tell them is dropped
   // Pools: each has a lane, a Dispatcher that sees its endpoints and its requests only. There is one from the start.
   void route(RoutePort* routes) { routes_ = routes; }
@@ -138,6 +140,7 @@
   const UnixClock& clock_;
   Counters& counters_;
   EndpointPort* endpoints_ = nullptr;
+  invariants::Monitor* monitor_ = nullptr;
   PeerPort* peers_ = nullptr;
   std::function<void(const std::string&)> twin_;
   std::unordered_map<RequestId, Request> requests_;
--- a/node/core/ports.h
+++ b/node/core/ports.h
@@ -117,6 +117,7 @@
   struct Terms {
     TimePoint until;     // it is given up then
     TimePoint write_by;  // after that its last byte must not go out any more
+    reedlb::Effect effect = reedlb::Effect::safe;
     bool again = false;  // call-backs of an earlier attempt of this request at that endpoint may still come
   };
   virtual void start(AttemptRef ref, WorkerId worker, const Job& job, const Terms& terms) = 0;
--- a/node/discovery/destination_set.cpp
+++ b/node/discovery/destination_set.cpp
@@ -86,6 +86,7 @@
   if (agent_is_silent()) {
     auto newest = std::find_if(calls_.rbegin(), calls_.rend(), [this](const auto& call) { return loop_.now() - call->began() >= kLeastSilence; });
     lease_.unreachable_as_of((*newest)->began());
+    if (monitor_) monitor_->discovery_unavailable(loop_.now());
     lease_changed();
   }
   if (calls_.size() >= schedule_.most_calls()) give_up(calls_.begin());
@@ -150,6 +151,7 @@
 // Before its first object a call may yet have something to tell, whatever keeps it alive.
 void DestinationSet::on_heartbeat(DiscoveryCall& call) {
   if (!call.has_brought_object()) return log::info(Subsystem::discovery, "heartbeat-before-list", {{"call", call.number()}});
+  if (monitor_) monitor_->heartbeat_received(loop_.now());
   establish(call);
   heard(call);
 }
@@ -173,6 +175,7 @@
 }
 
 bool DestinationSet::on_object(DiscoveryCall& call, const std::string& text) {
+  if (monitor_) monitor_->list_received(text, loop_.now());
   try {
     HostList list = decode_list(nlohmann::json::parse(text), names_);
     if (out_of_date(call, list)) {
@@ -219,11 +222,13 @@
 void DestinationSet::on_not_acknowledged(DiscoveryCall& call) {
   log::info(Subsystem::discovery, "call-not-acknowledged", {{"call", call.number()}});
   lease_.unreachable_as_of(call.began());
+  if (monitor_) monitor_->discovery_unavailable(loop_.now());
   lease_changed();
 }
 
 // What the end of a call proves of the list; `lease_changed` follows.
 void DestinationSet::note_end(const DiscoveryCall& call, CallEnd how) {
+  if (monitor_ && (how == CallEnd::refused || how == CallEnd::connect_refused)) monitor_->discovery_unavailable(loop_.now());
   if (how == CallEnd::refused) survey_.presumption().call_refused(call.began(), loop_.now());
   if (how == CallEnd::connect_refused) lease_.unreachable_as_of(call.began());
   if (watch_ == &call && how != CallEnd::silent) lease_.watch_closed(loop_.now());
--- a/node/discovery/destination_set.h
+++ b/node/discovery/destination_set.h
@@ -15,6 +15,7 @@
 #include "discovery/host_list.h"
 #include "discovery/list_lease.h"
 #include "discovery/watch_survey.h"
+#include "invariants/monitor.h"
 
 namespace keelflow {
 
@@ -48,6 +49,7 @@
   void names(Names names) { names_ = std::move(names); }  // from the next list on
   void disable(WorkerId worker, bool disabled);           // administrative override
   WatchSurvey& survey() { return survey_; }
+  void observe(invariants::Monitor* monitor) { monitor_ = monitor; }
 
   // Whether the list may be sent by at this moment: its lease runs, and the process was not stopped since it last looked.
   bool may_send_by_list();
@@ -87,6 +89,7 @@
   Names names_;
   Listener listener_;
   Counters& counters_;
+  invariants::Monitor* monitor_ = nullptr;
   std::minstd_rand random_;
   std::unordered_map<WorkerId, Destination> destinations_;
   discovery::CallSchedule schedule_;
--- a/node/inbound/server.cpp
+++ b/node/inbound/server.cpp
@@ -98,8 +98,11 @@
   loop_.cancel(timer_);
   timer_ = loop_.at(loop_.now() + patience, [this] {
     // A request that came while this turn's other events were played has begun, though it is read in the next one.
-    if (!busy_ && keep_alive_ && parser_.idle() && connection_.pending() == 0 && connection_.unread())
+    auto verdict = may_close();
+    if (verdict.reason() == operation_guard::Reason::bytes_unread) {
+      if (server_.on_close_forbidden) server_.on_close_forbidden(verdict.reason());
       return guard(kRequestPatience);
+    }
     if (!busy_ && keep_alive_ && !parser_.idle())
       return respond(408, "request timed out\n", {{"Connection", "close"}});
     if (connection_.pending() > 0) ++server_.counters_.slow_readers_closed;
@@ -107,6 +110,11 @@
   });
 }
 
+operation_guard::Verdict InboundConnection::may_close() const {
+  if (!keep_alive_ && !busy_) return operation_guard::may_close({});  // it has its answer, and waits to see the end
+  return operation_guard::may_close({.request_in_hand = busy_ || !parser_.idle(), .answer_unsent = connection_.pending() > 0, .bytes_unread = connection_.unread()});
+}
+
 bool InboundConnection::crowded() {
   while (server_.connections_.size() > server_.most_)
     if (!server_.free_one(this)) return true;
@@ -244,6 +252,7 @@
 void InboundConnection::on_closed(int) { over(); }
 
 void InboundConnection::abandon() {
+  if (server_.monitor_) server_.monitor_->connection_closed(exchange_ != nullptr, connection_.peer_ended(), loop_.now());
   connection_.close();
   over();
 }
@@ -401,7 +410,11 @@
   std::vector<InboundConnection*> idle;
   for (auto& [raw, connection] : connections_)
     if (raw->spare(loop_.now()) > 0 && raw->idle()) idle.push_back(raw);
-  for (InboundConnection* connection : idle) connection->abandon();
+  for (InboundConnection* connection : idle) {
+    auto verdict = connection->may_close();  // asked at the last moment
+    if (verdict.allowed()) connection->abandon();
+    else if (on_close_forbidden) on_close_forbidden(verdict.reason());
+  }
 }
 
 void Server::take_the_last() {
--- a/node/inbound/server.h
+++ b/node/inbound/server.h
@@ -7,8 +7,10 @@
 #include <vector>
 
 #include "core/counters.h"
+#include "invariants/monitor.h"
 #include "net/connection.h"
 #include "net/http.h"
+#include "operation_guard/operation_guard.h"
 
 namespace keelflow {
 
@@ -57,6 +59,8 @@
   static constexpr int kOnlyLingers = 3;  // waits only for its client to see the end
   // Nothing begun, nothing owed, and nothing unread: a connection that is closed must not take a request with it.
   bool idle() const { return !busy_ && parser_.idle() && connection_.pending() == 0 && connection_.quiet(); }
+  // By this process' own choice, while its client may still want something of it.
+  operation_guard::Verdict may_close() const;
   bool quiet() const { return connection_.quiet(); }
   bool client_left() const { return connection_.peer_ended(); }  // it sent no more than what has been read so far
   TimePoint since() const { return since_; }
@@ -102,6 +106,9 @@
   net::Address address() const;              // the one bound
   void accepting(bool on);  // off: connections are left to others who hold the listening socket
   void limit(std::size_t most) { most_ = most; }
+  void observe(invariants::Monitor* monitor) { monitor_ = monitor; }
+  // Hears of each close that the guard forbids.
+  std::function<void(operation_guard::Reason)> on_close_forbidden;
   // From here on answers end their connection. Accepting goes on until `close`.
   void drain();
   void close_idle();
@@ -128,6 +135,7 @@
   Front& front_;
   std::size_t most_;  // beyond it jobs are refused; a reserve above it keeps call-backs coming in
   Counters& counters_;
+  invariants::Monitor* monitor_ = nullptr;
   int fd_ = -1;
   std::string path_;  // of a Unix socket: removed at the end
   std::uint64_t registration_ = 0;
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -5,6 +5,8 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <cstdio>
+#include <cstdlib>
 #include <exception>
 #include <nlohmann/json.hpp>
 
@@ -72,6 +74,10 @@
   return {.pushed = !settings.ask_list, .drain_grace = from_ms(settings.drain_grace_ms), .ask_within = from_ms(settings.ask_within_ms)};
 }
 
+invariants::Terms monitor_terms(const reedlb::Settings& settings) {
+  return {.drain_grace = from_ms(settings.drain_grace_ms), .parallel_attempts = settings.parallel_tries};
+}
+
 sigset_t signals() {
   sigset_t set;
   sigemptyset(&set);
@@ -98,11 +104,17 @@
         front_(loop_, engine_, outbound_, config_, counters_), server_(loop_, front_, budget_.inbound, counters_),
         operators_({.not_ready = [this] { return not_ready(); }, .gauges = [this] { return gauges(); },
                     .by_hand = [this](const std::string& host, bool out) { return by_hand(host, out); }}, counters_),
+        monitor_(monitor_terms(config_.settings), [this](invariants::Rule rule, const std::string& what) { on_violation(rule, what); }),
         signals_(*this) {}
 
   int run() {
     engine_.name_classes(config_.names.classes);
     engine_.connect(outbound_);
+    engine_.observe(&monitor_);
+    outbound_.observe(&monitor_);
+    destinations_.observe(&monitor_);
+    server_.observe(&monitor_);
+    server_.on_close_forbidden = [this](operation_guard::Reason reason) { engine_.count_refusal(operation_guard::Operation::close, reason); };
     engine_.peers(&peers_);
     traffic_.connect(destinations_);
     traffic_.configure(own_.routes, own_.moves);
@@ -269,6 +281,15 @@
     if (!serving_ && !learned_.empty()) engine_.learn(learned_);
   }
 
+  void on_violation(invariants::Rule rule, const std::string& what) {
+    ++counters_.invariant_violations;
+    log::error(Subsystem::node, "invariant-violated", {{"rule", invariants::to_string(rule)}, {"what", what}});
+#ifdef KEELFLOW_STRICT_INVARIANTS
+    std::fprintf(stderr, "invariant violated: %s: %s\n%s", std::string(invariants::to_string(rule)).c_str(), what.c_str(), monitor_.last_events().c_str());
+    std::abort();
+#endif
+  }
+
   void on_list_lease(bool may_send) {
     was_ready_ = was_ready_ || may_send;
     engine_.allow_sends(may_send);
@@ -349,11 +370,29 @@
 #define X(name) counters[#name] = counters_.name;
     KEELFLOW_COUNTERS(X)
 #undef X
-    return {{"name", config_.name}, {"address", server_.address().text()}, {"version", KEELFLOW_VERSION},
+    return {{"name", config_.name}, {"address", server_.address().text()}, {"version", KEELFLOW_VERSION}, {"forbidden", forbidden()}, {"violations", violations()},
             {"draining", counters_.drain_stage > 0}, {"open_requests", engine_.open_requests()},
             {"open_attempts", engine_.open_attempts()}, {"counters", counters}};
   }
 
+  // What the operation guard has forbidden, by operation and reason.
+  nlohmann::json forbidden() const {
+    using namespace operation_guard;
+    nlohmann::json all = nlohmann::json::object();
+    for (Operation operation : {Operation::send, Operation::repeat, Operation::close, Operation::start})
+      for (std::size_t i = 1; i < kReasons; ++i)
+        if (auto count = engine_.refusals().of(operation, static_cast<Reason>(i)); count > 0)
+          all[std::string(to_string(operation))][std::string(to_string(static_cast<Reason>(i)))] = count;
+    return all;
+  }
+
+  nlohmann::json violations() const {
+    nlohmann::json all = nlohmann::json::object();
+    for (std::size_t i = 0; i < invariants::kRules; ++i)
+      if (auto count = monitor_.violations(static_cast<invariants::Rule>(i)); count > 0) all[std::string(invariants::to_string(static_cast<invariants::Rule>(i)))] = count;
+    return all;
+  }
+
   nlohmann::json turns() {
     nlohmann::json at = nlohmann::json::array();
     double now = clock_.unix_ms(loop_.now());
@@ -416,6 +455,7 @@
     outbound_.retune({config_.connect_timeout, config_.report_names});
     pool_.keep(config_.idle_limit * 6 / 10);
     destinations_.names(config_.names);
+    monitor_.change(monitor_terms(config_.settings));
     destinations_.change(call_policy(config_.settings), lease_terms(config_.settings));
     destinations_.move(config_.discovery);
   }
@@ -495,6 +535,7 @@
   std::unique_ptr<Handover> handover_;
   std::optional<handover::Succession> succession_;  // where the platform lends the listening socket
   std::vector<reedlb::Knowledge> learned_;          // by the process before us
+  invariants::Monitor monitor_;
   bool serving_ = false, successor_ = false;
   bool was_ready_ = false;  // it had a list that could be sent by
   Signals signals_;
--- a/node/outbound/outbound.cpp
+++ b/node/outbound/outbound.cpp
@@ -115,6 +115,7 @@
   if (alone) by_name_.erase(call.id());
   loop_.dispose(std::move(it->second));  // it is calling us
   calls_.erase(it);
+  if (monitor_) monitor_->attempt_over(call.id(), call.host(), end.ending == Ending::turned_away || end.reach < Reach::fully_written);
   engine_.attempt_ended(ref, std::move(end));
 }
 
--- a/node/outbound/outbound.h
+++ b/node/outbound/outbound.h
@@ -43,6 +43,7 @@
   void give_up_unsent(AttemptRef ref) override;
   void probe(WorkerId worker) override;
 
+  void observe(invariants::Monitor* monitor) { monitor_ = monitor; }
   void retune(Settings settings) { settings_ = std::move(settings); }
 
   void resume_withheld();  // attempts that waited for a list to be sent by go on
@@ -64,6 +65,7 @@
   Pool& pool_;
   Settings settings_;
   Counters& counters_;
+  invariants::Monitor* monitor_ = nullptr;
   std::map<std::pair<RequestId, int>, std::unique_ptr<OutboundCall>> calls_;
   std::unordered_map<std::string, RequestId> by_name_;  // of the requests in calls_
   std::unordered_map<ProbeCall*, std::unique_ptr<ProbeCall>> probes_;
--- a/node/outbound/outbound_call.cpp
+++ b/node/outbound/outbound_call.cpp
@@ -83,6 +83,7 @@
   if (wants_progress_) request += "Accept: text/event-stream\r\n";
   request += "X-Expires-In-Ms: " + std::to_string(std::max<std::int64_t>(1, left)) + "\r\n";
   request += "Content-Length: " + std::to_string(p.body.size()) + "\r\n\r\n" + p.body;
+  if (owner_.monitor_) owner_.monitor_->attempt_written(host_, request, !once_, terms_.effect, owner_.loop_.now());
   connection_->send_job(verdict.permit(), request, once_ ? 1 : 0);
   if (once_) {
     rest_ = request.back();
@@ -99,6 +100,7 @@
     withhold(verdict.reason());
     return on_broken();
   }
+  if (owner_.monitor_) owner_.monitor_->last_byte_written(payload_->id, terms_.effect, owner_.loop_.now());
   connection_->send_rest(verdict.permit(), std::exchange(rest_, {}));
   watch_connection();
 }
