keelflow_lab soak: random overlapping faults over real processes, judged from outside

What was missing: no test drew faults that overlap, in fleets of a configured size other than the number of processes. lab/soak draws an experiment from a seed (configured up to 900, lists asked or pushed, deadlines, windows, quiet times; discovery down, refusing, hanging, slow; watches silent or reset; drains, removals, crashes, kills and starts, stalls from 150 ms, SIGHUP in a row, clients that leave, wall clocks stepped, system calls that fail or move one byte by a shim of the lab's own). A run without a drain, or whose faults were not applied, does not pass. New in the lab: hup, clock, quitters, failing-calls, short-calls, the rule 'left' (seen to fire), the metric violations.

--- a/lab/boxes.cpp
+++ b/lab/boxes.cpp
@@ -178,7 +178,7 @@
   }
   std::string id(request.head.find("X-Trace-Id"));
   if (request.head.method != "POST" || id.empty()) return connection.respond(404, "");
-  world_.rules.attempt_began(id, host_);
+  world_.rules.attempt_began(id, host_, world_.loop.now());
   count(node);
   TimePoint told = world_.drains.counts_as_told(node, host_);
   if (told != TimePoint::max() && world_.loop.now() > told + world_.drain_grace) world_.rules.drained_box_was_sent(id, host_);
--- a/lab/crowd.cpp
+++ b/lab/crowd.cpp
@@ -13,6 +13,7 @@
 constexpr Duration kSlack = 50ms;     // the protocol's, on a deadline
 constexpr Duration kAtOnce = 1ms;     // a rude client's pause, and one's that was given no advice
 constexpr std::size_t kMostIdle = 400;
+constexpr int kLeft = -1;             // in place of a status: the client did not wait for it
 
 }  // namespace
 
@@ -25,7 +26,8 @@
     const ClassPlan& cls = owner_.plan_.classes[static_cast<std::size_t>(job_.cls)];
     began_ = owner_.world_.loop.now();
     deadline_ = began_ + cls.patience;
-    timer_ = owner_.world_.loop.at(deadline_ + kSlack, [this] { silent(); });
+    bool leaves = job_.leaves_after > Duration::zero();
+    timer_ = leaves ? owner_.world_.loop.at(began_ + job_.leaves_after, [this] { leave(); }) : owner_.world_.loop.at(deadline_ + kSlack, [this] { silent(); });
     connection_ = owner_.pool_.take(static_cast<WorkerId>(node_), owner_.world_.nodes[node_]);
     if (!connection_) return;  // the deadline ends it
     connection_->attach(this);
@@ -66,6 +68,11 @@
     if (!connection_) return;
     connection_->attach(this);
   }
+  void leave() {
+    owner_.pool_.discard(std::move(connection_));
+    owner_.world_.rules.client_left(id_, owner_.world_.loop.now());
+    owner_.over(*this, kLeft, body_, {});
+  }
   void silent() {
     owner_.pool_.discard(std::move(connection_));
     finish(0);
@@ -170,6 +177,8 @@
     job.core_ms = usual * std::lognormal_distribution<double>(-cls.spread * cls.spread / 2, cls.spread)(random_);
     job.hint_ms = job.core_ms * std::lognormal_distribution<double>(0, 0.2)(random_);
     job.rude = std::bernoulli_distribution(plan_.rude)(random_);
+    if (plan_.quitters > 0 && std::bernoulli_distribution(plan_.quitters)(random_))
+      job.leaves_after = std::chrono::duration_cast<Duration>(std::uniform_real_distribution<double>(0.01, 0.9)(random_) * cls.patience);
     job.first = world_.loop.now();
     ClassFigures& f = figures_[static_cast<std::size_t>(job.cls)];
     ++f.jobs;
@@ -210,6 +219,7 @@
     seconds_[static_cast<std::size_t>(std::chrono::floor<std::chrono::seconds>(job.first - began_).count())].second += cls.value;
     return;
   }
+  if (status == kLeft) return;
   bool refused = status == 503 || status == 429;
   ++(status == 0 ? f.silent : refused ? f.refused : f.failed);
   // A keyed try that failed may have run in its group; the next could come to a node that knows nothing of it.
--- a/lab/crowd.h
+++ b/lab/crowd.h
@@ -50,6 +50,7 @@
     std::string key, object;
     double core_ms = 0, hint_ms = 0;
     bool rude = false;
+    Duration leaves_after{};  // zero: it waits
     TimePoint first;
   };
   class Call;
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -15,6 +15,7 @@
 #include "config/config.h"
 #include "demo.h"
 #include "run.h"
+#include "soak.h"
 
 namespace keelflow::lab {
 namespace {
@@ -170,6 +171,47 @@
   return report(tasks) ? 0 : 1;
 }
 
+struct SoakSettings {
+  SoakOptions draw;
+  std::uint64_t seed = 1, runs = 1;
+  bool replay = false;
+};
+
+// Why a run proves nothing; empty: it does.
+std::string unproved(const SoakDraw& drawn, const Outcome& outcome) {
+  if (!drawn.drains || outcome.metrics.at("endpoints-not-ready") < 1) return "no endpoint drained";
+  if (drawn.kinds.contains("syscalls") && outcome.metrics.at("calls-failed") + outcome.metrics.at("calls-shortened") < 1) return "no system call failed";
+  return "";
+}
+
+int soak(const Options& options, const SoakSettings& settings) {
+  std::size_t passed = 0, failed = 0;
+  json all = json::array();
+  for (std::uint64_t seed = settings.seed; seed < settings.seed + settings.runs; ++seed) {
+    SoakDraw drawn = draw_soak(seed, settings.draw);
+    if (settings.replay) std::printf("%s", drawn.text.c_str());
+    std::vector<Task> tasks = {{.variant = {}, .seed = seed, .outcome = {}, .fault = {}}};
+    run_all(drawn.text, "soak", tasks, {.program = options.program, .seed = seed, .live = false, .keep = settings.replay || options.keep}, 1);
+    Outcome& outcome = tasks[0].outcome;
+    if (tasks[0].fault.empty()) tasks[0].fault = unproved(drawn, outcome);
+    bool good = tasks[0].fault.empty() && outcome.good();
+    ++(good ? passed : failed);
+    std::string kinds;
+    for (const std::string& kind : drawn.kinds) kinds += " " + kind;
+    std::printf("seed %llu: %s; drawn:%s\n", static_cast<unsigned long long>(seed), good ? "held" : "failed", kinds.c_str());
+    if (!tasks[0].fault.empty()) std::printf("  %s\n", tasks[0].fault.c_str());
+    for (const std::string& text : outcome.missed) std::printf("  %s\n", text.c_str());
+    for (const std::string& text : outcome.breaches) std::printf("    %s\n", text.c_str());
+    std::fflush(stdout);
+    json one = to_json(outcome);
+    one.update({{"seed", seed}, {"fault", tasks[0].fault}, {"drawn", drawn.kinds}, {"experiment", drawn.text}});
+    all.push_back(std::move(one));
+  }
+  if (!options.out.empty()) std::ofstream(options.out) << all.dump(1) << "\n";
+  std::printf("%zu passed, %zu failed\n", passed, failed);
+  return failed == 0 ? 0 : 1;
+}
+
 int demo(const Options& options) {
   std::printf("two nodes, two pools of four boxes, one move; the new boxes are as good as the old\n");
   Outcome outcome = run(read_plan(kDemo, "demo", {}), {.program = options.program, .seed = 1, .live = true, .keep = options.keep});
@@ -196,11 +238,24 @@
   all->add_option("--json", options.out, "keep all figures in this file");
   all->add_option("--program", options.program, "the node to start")->capture_default_str();
   all->add_flag("--keep", options.keep, "keep the nodes' folders");
+  SoakSettings soak_settings;
+  std::uint64_t replay = 0;
+  CLI::App* random = app.add_subcommand("soak", "random faults that overlap, drawn from a seed, judged by the rules");
+  random->add_option("--seed", soak_settings.seed, "of the first run; the others follow")->capture_default_str();
+  random->add_option("--runs", soak_settings.runs, "how many")->check(CLI::Range(1, 10000))->capture_default_str();
+  random->add_option("--processes", soak_settings.draw.processes, "real ones")->check(CLI::Range(2, 40))->capture_default_str();
+  random->add_option("--seconds", soak_settings.draw.seconds, "of each run")->check(CLI::Range(15, 3600))->capture_default_str();
+  CLI::Option* again = random->add_option("--replay", replay, "the same draws again; the nodes' folders with their logs are kept");
+  random->add_option("--json", options.out, "keep all figures in this file");
+  random->add_option("--program", options.program, "the node to start")->capture_default_str();
+  random->add_flag("--keep", options.keep, "keep the nodes' folders");
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& fault) {
     return app.exit(fault) == 0 ? 0 : 2;
   }
+  if (again->count() > 0) soak_settings.seed = replay, soak_settings.runs = 1, soak_settings.replay = true;
+  if (random->parsed()) return soak(options, soak_settings);
   return sub->parsed() ? demo(options) : run_file(options);
 }
 
--- a/lab/nodes.cpp
+++ b/lab/nodes.cpp
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <signal.h>
+#include <sys/mman.h>
 #include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -83,9 +84,27 @@
     : plan_(plan), folder_(std::move(folder)), program_(std::move(program)), number_(number), address_(free_address(SOCK_STREAM)) {
   std::filesystem::create_directories(folder_ + "/deploy");
   if (!plan.plugins.empty()) std::filesystem::create_directory_symlink(std::filesystem::absolute(plan.plugins), folder_ + "/plugins");
+  map_shim();
   std::ofstream(folder_ + "/deploy/keelflow.sexp") << "(admin (socket \"admin\"))\n" << plan.settings;
 }
 
+void NodeProcess::map_shim() {
+  int fd = ::open((folder_ + "/faults").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
+  bool sized = fd >= 0 && ftruncate(fd, sizeof(ShimControl)) == 0;
+  void* at = sized ? mmap(nullptr, sizeof(ShimControl), PROT_READ | PROT_WRITE, MAP_SHARED, fd, 0) : MAP_FAILED;
+  if (fd >= 0) ::close(fd);
+  if (at == MAP_FAILED) throw std::runtime_error("no file for faults could be mapped");
+  shim_ = static_cast<ShimControl*>(at);
+  shim_->failing_per_million = static_cast<std::uint32_t>(1e6 * plan_.failing_calls);
+  shim_->short_per_million = static_cast<std::uint32_t>(1e6 * plan_.short_calls);
+}
+
+void NodeProcess::reload() {
+  if (pid_ > 0) ::kill(pid_, SIGHUP);
+}
+
+void NodeProcess::step_clock(double seconds) { shim_->wall_clock_offset_ns += static_cast<std::int64_t>(seconds * 1e9); }
+
 void NodeProcess::start(const Neighbours& neighbours, std::uint64_t seed) {
   neighbours_ = neighbours;
   start_again(seed, nullptr);
@@ -104,6 +123,7 @@
   std::ofstream(folder_ + "/config.json") << config.dump(1);
   killed_ = false;
   code_ = -1;
+  shim_->wall_clock_offset_ns = 0;  // a machine that starts has the right time
   spawn();
 }
 
@@ -121,12 +141,18 @@
   dup2(log, 1);
   dup2(log, 2);
   setenv("EDGE_CONFIG", (folder_ + "/config.json").c_str(), 1);
+  if (plan_.needs_shim) {
+    setenv("LD_PRELOAD", (std::filesystem::path(program_).parent_path() / "libkeelflow_faults.so").c_str(), 1);
+    setenv(kShimFile, (folder_ + "/faults").c_str(), 1);
+    setenv("ASAN_OPTIONS", "verify_asan_link_order=0", 1);  // the shim stands before its library, which is meant
+  }
   if (chdir(folder_.c_str()) == 0) execl(program_.c_str(), program_.c_str(), nullptr);
   _exit(127);
 }
 
 NodeProcess::~NodeProcess() {
   bury();
+  munmap(shim_, sizeof(ShimControl));
   if (pid_ <= 0 || ended()) return;
   ::kill(pid_, SIGKILL);
   waitpid(pid_, nullptr, 0);
--- a/lab/nodes.h
+++ b/lab/nodes.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "fault_shim.h"
 #include "net/address.h"
 #include "plan.h"
 
@@ -37,6 +38,11 @@
   bool up() const;       // it accepts connections
   void kill();           // SIGKILL
   void stall(bool on);   // SIGSTOP, SIGCONT
+  void reload();         // SIGHUP
+  void step_clock(double seconds);  // its wall clock
+  // System calls of its lives so far that were made to fail or to move one byte; reads of a wall clock.
+  std::uint64_t calls_failed() const { return shim_ ? shim_->failed.load() : 0; }
+  std::uint64_t calls_shortened() const { return shim_ ? shim_->shortened.load() : 0; }
   void settings(const std::string& text);  // rewrites its file and sends SIGHUP
   void terminate();
   bool ended();                            // has it ended, and with what
@@ -54,6 +60,7 @@
 
  private:
   void spawn();
+  void map_shim();
   void bury();
 
   const Plan& plan_;
@@ -62,6 +69,7 @@
   net::Address address_;
   Neighbours neighbours_;
   pid_t pid_ = -1, dying_ = -1;
+  ShimControl* shim_ = nullptr;
   int code_ = -1;
   bool told_ = false, killed_ = false;
 };
--- a/lab/plan.cpp
+++ b/lab/plan.cpp
@@ -102,7 +102,7 @@
   return z;
 }
 
-enum class Word : std::uint8_t { place, node, nodes, boxes, share, time, up_or_down, call_fault, any };
+enum class Word : std::uint8_t { place, node, nodes, seconds, boxes, share, time, up_or_down, call_fault, any };
 struct Verb {
   std::vector<Word> wanted;
   std::size_t least;   // words; the others may be left out
@@ -137,6 +137,8 @@
       {"reset", {{place, place}, 2, "(reset FROM TO)", true}},
       {"stall", {{node, time}, 2, "(stall NODE TIME)"}},
       {"kill", {{node}, 1, "(kill NODE)"}},
+      {"hup", {{node}, 1, "(hup NODE)"}},
+      {"clock", {{nodes, seconds}, 2, "(clock NODE or all SECONDS), by which its wall clock is stepped"}},
       {"start", {{node}, 1, "(start NODE)"}},
       {"vanish", {{boxes}, 1, "(vanish BOXES)", true}},
       {"return", {{boxes}, 1, "(return BOXES)", true}},
@@ -177,6 +179,7 @@
   if (wanted == Word::call_fault && !call_fault(word.atom)) return "refused, endless, reset, silent, head, half, cut or slow";
   if (wanted == Word::boxes && !is_boxes(plan, word.atom)) return "the beginning of some boxes' names";
   if (wanted == Word::share && (!config::read_number(word, number) || number < 0 || number > 1)) return "a share from 0 to 1";
+  if (wanted == Word::seconds && !config::read_number(word, number)) return "a number of seconds, less than 0 for back";
   if (wanted == Word::time && !config::read_span(word, span)) return "a time, as 250ms";
   return nullptr;
 }
@@ -236,10 +239,14 @@
   form.number("tenants", plan.tenants, 1, 100, "a number");
   form.number("objects", plan.objects, 1, 1e9, "a number");
   form.number("rude", plan.rude, 0, 1, "a share");
+  form.number("quitters", plan.quitters, 0, 1, "a share");
+  form.number("failing-calls", plan.failing_calls, 0, 0.2, "a share up to 0.2");
+  form.number("short-calls", plan.short_calls, 0, 1, "a share");
   form.span("lasts", plan.lasts, 1s, 24h);
   form.span("progress", plan.progress, 0ms, 1h);
   form.number("cold-from", plan.cold_from, 0.01, 1, "a share");
   form.span("cold", plan.cold, 100ms, 1h);
+  plan.needs_shim = plan.failing_calls > 0 || plan.short_calls > 0;
   std::string lists = "ask";
   form.choice("lists", lists, {"ask", "push"});
   plan.pushed = lists == "push";
@@ -265,6 +272,7 @@
       change.verb = what.head();
       change.words.assign(what.items.begin() + (what.items.empty() ? 0 : 1), what.items.end());
       check_change(plan, what, form);
+      plan.needs_shim = plan.needs_shim || change.verb == "clock";
       if (auto verb = verbs().find(change.verb); verb != verbs().end()) plan.relays = plan.relays || verb->second.of_links;
       plan.changes.push_back(change);
     }
--- a/lab/plan.h
+++ b/lab/plan.h
@@ -48,12 +48,15 @@
   std::string name;
   double configured = 0;  // processes that each node's settings name; 0: as many as there are
   double nodes = 2, load = 100, tenants = 4, objects = 5000, rude = 0;  // rude: share of clients that ignore Retry-After
+  double quitters = 0;                        // share of clients that leave before their time is over
+  double failing_calls = 0, short_calls = 0;  // share of the nodes' system calls that fail for a moment, or move one byte
   Duration lasts = std::chrono::seconds(15), progress = std::chrono::seconds(1);
   double cold_from = 0.14;
   Duration cold = std::chrono::seconds(20);
   bool pushed = false;   // lists; else nodes ask for them
   Duration ask_within = std::chrono::seconds(10);
   bool peers = false;   // nodes may send one another datagrams
+  bool needs_shim = false;  // system calls fail, or wall clocks are stepped
   bool relays = false;  // links go through the lab's network; always so with zones, peers, or a fault of links
   std::vector<ZonePlan> zones;  // in whose order the nodes are numbered; none: nodes know no zones
   std::vector<ClassPlan> classes;
--- a/lab/rules.cpp
+++ b/lab/rules.cpp
@@ -3,6 +3,7 @@
 namespace keelflow::lab {
 namespace {
 constexpr std::size_t kMostExamples = 10;
+constexpr Duration kLeftSlack = std::chrono::milliseconds(150);  // 0.1 s, and the way there
 }
 
 void Rules::breach(const char* rule, const std::string& what) {
@@ -18,9 +19,14 @@
   r.window = window;
 }
 
-void Rules::attempt_began(const std::string& id, const std::string& box) {
+void Rules::client_left(const std::string& id, TimePoint now) {
+  if (auto it = requests_.find(id); it != requests_.end()) it->second.client_left = now;
+}
+
+void Rules::attempt_began(const std::string& id, const std::string& box, TimePoint now) {
   auto it = requests_.find(id);
   if (it == requests_.end()) return breach("made", "box " + box + " was sent '" + id + "', which nobody asked for");
+  if (it->second.client_left != TimePoint::max() && now > it->second.client_left + kLeftSlack) breach("left", box + " was sent " + id + ", whose client had gone");
   if (it->second.attempts_out++ > 0) breach("one", id + " reached " + box + " while another attempt of it was out");
 }
 
--- a/lab/rules.h
+++ b/lab/rules.h
@@ -6,6 +6,7 @@
 //   unsafe     work of an unsafe class runs once at most, whatever its client's tries were called; and a refusal of it
 //              means that it did not run
 //   keyed      work with a key does not run in a second group while its repeats may be dropped by the first
+//   left       nothing is sent on for a client that left more than a moment ago
 //   one        a request has one attempt out at a time
 //   drain      a box that is told to be draining gets nothing new after the grace
 //   cold       a box that has just started is not sent so much that it falls over
@@ -28,12 +29,14 @@
     std::string key;  // the same for all tries of one job
     reedlb::Effect effect = reedlb::Effect::safe;
     Duration window{};
+    TimePoint client_left = TimePoint::max();
     int attempts_out = 0, runs = 0, answers = 0;
     std::string result;  // made by a box
   };
 
   void asked(const std::string& id, std::string key, reedlb::Effect effect, Duration window);
-  void attempt_began(const std::string& id, const std::string& box);  // its last byte reached a box
+  void attempt_began(const std::string& id, const std::string& box, TimePoint now = {});  // its last byte reached a box
+  void client_left(const std::string& id, TimePoint now);
   void attempt_over(const std::string& id);
   void ran(const std::string& id, const std::string& box, const std::string& group, const std::string& result, TimePoint now);
   void answered(const std::string& id, int status, const std::string& body, bool in_time);
--- a/lab/run.cpp
+++ b/lab/run.cpp
@@ -242,6 +242,15 @@
   }
 
   bool apply_to_node(const Change& change) {
+    if (change.verb == "clock") {
+      for (std::size_t i = 0; i < nodes_.size(); ++i)
+        if (text_of(change.words, 0) == "all" || i == number_of_node(text_of(change.words, 0))) nodes_[i]->step_clock(number_of(change.words, 1, 0));
+      return true;
+    }
+    if (change.verb == "hup") {
+      nodes_[number_of_node(text_of(change.words, 0))]->reload();
+      return true;
+    }
     if (change.verb != "stall" && change.verb != "kill" && change.verb != "start") return false;
     std::size_t i = number_of_node(text_of(change.words, 0));
     NodeProcess& node = *nodes_[i];
@@ -321,6 +330,7 @@
     if (change.verb == "slow") return box.slow(number_of(change.words, 1, 2));
     if (change.verb == "crash") return box.crash(), tell(kToldLate);
     if (change.verb == "revive") return box.revive(), tell(kToldLate);
+    drained_ += change.verb == "remove" || change.verb == "drain";
     if (change.verb == "remove") box.remove();
     else box.drain(change.verb == "drain");
     tell(0ms);
@@ -394,6 +404,12 @@
     m["reports"] = static_cast<double>(world_.reports), m["resumed"] = static_cast<double>(world_.resumed);
     m["memory-kb"] = static_cast<double>(memory_);
     m["ready-s"] = ready_s_;
+    m["calls-failed"] = m["calls-shortened"] = 0;
+    for (const auto& node : nodes_) m["calls-failed"] += static_cast<double>(node->calls_failed()), m["calls-shortened"] += static_cast<double>(node->calls_shortened());
+    m["endpoints-not-ready"] = static_cast<double>(drained_);
+    m["violations"] = 0;
+    for (const json& status : finals_)
+      if (status.is_object()) m["violations"] += status["counters"].value("invariant_violations", 0.0);
     m["longest-ms"] = crowd_.latency(1), m["reloads"] = reloads_;
     for (const char* counter : {"plugin_asked", "plugin_not_asked", "plugin_late", "plugin_faults", "plugin_hosts_ended", "plugin_reloads"}) {
       double sum = 0;
@@ -495,6 +511,7 @@
   std::vector<bool> stopped_;  // by SIGSTOP
   std::vector<json> known_;    // by node: the list that it had when it was killed
   bool discovery_down_ = false;
+  std::size_t drained_ = 0;  // endpoints that were made to drain or to leave the list
   Views views_;
   double cpu_ = 0, reloads_ = 0, ready_s_ = 0;  // ready: the longest that a node took that was started again
   long memory_ = 0;
--- a/tests/lab/rules_test.cpp
+++ b/tests/lab/rules_test.cpp
@@ -51,6 +51,7 @@
          r.asked("k.1", "k", Effect::unsafe, 0s), r.ran("k.1", "a", "east", "r", kThen);
        }},
       {"keyed", [](Rules& r) { begun(r, Effect::keyed), r.ran("k.0", "a", "east", "r", kThen), r.ran("k.0", "b", "west", "r", kThen + 1s); }},
+      {"left", [](Rules& r) { r.asked("k.0", "k", Effect::safe, {}), r.client_left("k.0", TimePoint{}), r.attempt_began("k.0", "box", TimePoint{} + std::chrono::seconds(1)); }},
       {"one", [](Rules& r) { begun(r, Effect::safe), r.attempt_began("k.0", "other"); }},
       {"drain", [](Rules& r) { r.drained_box_was_sent("k.0", "box"); }},
       {"cold", [](Rules& r) { r.cold_box_fell("box"); }}};
