--- a/lab/directory.cpp
+++ b/lab/directory.cpp
@@ -125,6 +125,7 @@
         if (std::find(watches_->begin(), watches_->end(), lost) != watches_->end()) lost->connection().abandon();
       });
     }
+    if (fault == CallFault::slow) owner_.world_.drains.heard(node_);  // it is being told, though slowly
     if (fault == CallFault::slow) watch->tell_slowly(list, [this] { owner_.told(node_); });
     else watch->silence();
     return watch;
--- a/lab/drain_rule.h
+++ b/lab/drain_rule.h
@@ -3,8 +3,8 @@
 //
 //   A change counts as told to a node once discovery has written it to that node, and in any case 6 s after discovery
 //   had it and the node could reach discovery, whatever calls failed, were refused or were given up in between. What a
-//   watch that fell silent misses counts as told 6 s after it fell silent. From then on the box gets nothing new of
-//   that node once the grace is over.
+//   watch that fell silent misses counts as told 6 s after it fell silent; a change that discovery had no way to tell when
+//   it was made is not among that. From then on the box gets nothing new of that node once the grace is over.
 //
 // Pure: it is told what happens and keeps no clock.
 #pragma once
@@ -13,6 +13,7 @@
 #include <map>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "core/time.h"
 
@@ -36,7 +37,11 @@
   std::map<std::string, TimePoint> drained_;  // of boxes that are not ready
   std::map<std::pair<std::size_t, std::string>, TimePoint> told_;
   std::map<std::size_t, TimePoint> silent_since_;  // of nodes whose watch is
-  std::map<std::size_t, TimePoint> reachable_since_;  // without an entry: always; max(): not at present
+  struct Outage {
+    TimePoint from, to;  // max(): it goes on
+  };
+  bool made_in_outage(std::size_t node, TimePoint when) const;
+  std::map<std::size_t, std::vector<Outage>> outages_;  // of each node's way to discovery, in order
 };
 
 }  // namespace keelflow::lab
--- a/lab/run.cpp
+++ b/lab/run.cpp
@@ -264,6 +264,7 @@
         if (nodes_[i]->killed()) crowd_.leave(i);
       });
     } else if (change.verb == "start" && node.killed()) {
+      world_.drains.heard(i);  // the watch that fell silent was of its former life
       node.start_again(settings_.seed * 1000 + 500 + i, known_[i]);
       wait_for_start(i, loop_.now());
     } else if (change.verb == "stall") {
--- a/tests/lab/drain_rule_test.cpp
+++ b/tests/lab/drain_rule_test.cpp
@@ -44,5 +44,21 @@
   EXPECT_EQ(rule.counts_as_told(0, "box"), kThen + 10s);
 }
 
+// A watch that fell silent just before an outage does not make changes count that discovery could tell nobody.
+TEST(DrainRule, WhatChangesWhileDiscoveryIsAwayIsNotMissedByASilentWatch) {
+  DrainRule rule;
+  rule.silent(0, kThen);
+  rule.drained("before", kThen + 1s);
+  rule.reachable(0, false, kThen + 2s);
+  rule.drained("meanwhile", kThen + 3s);
+  EXPECT_EQ(rule.counts_as_told(0, "before"), kThen + 6s);
+  EXPECT_EQ(rule.counts_as_told(0, "meanwhile"), TimePoint::max());
+  rule.reachable(0, true, kThen + 20s);
+  rule.drained("after", kThen + 21s);
+  EXPECT_EQ(rule.counts_as_told(0, "before"), kThen + 6s);
+  EXPECT_EQ(rule.counts_as_told(0, "meanwhile"), kThen + 26s);
+  EXPECT_EQ(rule.counts_as_told(0, "after"), kThen + 21s);
+}
+
 }  // namespace
 }  // namespace keelflow::lab
