An agent that answers again ends what its silence had granted; stand-ins keep their ports

While there is no watch any answer of the agent now ends the lease within the grace, until a list has come. Lists asked for: an accepted call ends a presumed outage, and after a watch that fell silent (which may have missed something) no outage is presumed.

--- a/lab/boxes.cpp
+++ b/lab/boxes.cpp
@@ -1,8 +1,12 @@
 #include "boxes.h"
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "nodes.h"
+
 namespace keelflow::lab {
 namespace {
 
@@ -99,10 +103,7 @@
 
 Box::Box(World& world, const BoxPlan& plan, std::string host, std::size_t nodes)
     : world_(world), plan_(plan), host_(std::move(host)) {
-  net::Address any;
-  any.in.sin_family = AF_INET;
-  any.in.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  dials_.assign(nodes, any);
+  dials_.resize(nodes);
   for (std::size_t i = 0; i < nodes; ++i) callers_.push_back(std::make_unique<Caller>(world_, *this, i));
   listen();
   if (!plan.cold) return;
@@ -117,8 +118,9 @@
 void Box::listen() {
   for (std::size_t i = 0; i < dials_.size(); ++i) {
     ports_.push_back(std::make_unique<Port>(*this, i));
+    // Not one of those that the kernel gives to whoever connects: a box that is back must find its own free.
+    if (dials_[i].in.sin_port == 0) dials_[i] = free_address(SOCK_STREAM);
     ports_.back()->server().listen(dials_[i]);
-    dials_[i] = ports_.back()->server().address();
   }
   up_ = true;
 }
--- a/logic/discovery/list_lease.cpp
+++ b/logic/discovery/list_lease.cpp
@@ -22,9 +22,14 @@
 
 void ListLease::unreachable_as_of(TimePoint when) { until_ = std::max(until_, when + span()); }
 
-void ListLease::watch_closed(TimePoint now) {
+// What an agent has counts at once.
+void ListLease::answered_without_list(TimePoint now) {
   if (terms_.pushed) until_ = std::min(until_, now + std::max(Duration::zero(), terms_.drain_grace - kHeldUp));
-  else if (current_) until_ = std::min(until_, std::max(now, *current_ + terms_.ask_within - kHeldUp));
+}
+
+void ListLease::watch_closed(TimePoint now) {
+  answered_without_list(now);
+  if (!terms_.pushed && current_) until_ = std::min(until_, std::max(now, *current_ + terms_.ask_within - kHeldUp));
 }
 
 void ListLease::discovery_moved(TimePoint now) { until_ = std::min(until_, now + kMovedWithin - kHeldUp); }
--- a/logic/discovery/list_lease.h
+++ b/logic/discovery/list_lease.h
@@ -28,6 +28,8 @@
   // At that moment discovery took no connection.
   void unreachable_as_of(TimePoint when);
   void watch_closed(TimePoint now);     // ended by discovery or the network; silence is no news: see `current_as_of`
+  // While there is no watch, discovery has answered a call in whatever way: it is there, and has not told its list yet.
+  void answered_without_list(TimePoint now);
   void discovery_moved(TimePoint now);  // by a new configuration
   // The process has just started, or was stopped while its watch was open: what it holds may be of any age.
   void revoke();
--- a/node/discovery/destination_set.cpp
+++ b/node/discovery/destination_set.cpp
@@ -159,6 +159,7 @@
 
 void DestinationSet::on_accepted(DiscoveryCall& call) {
   log::info(Subsystem::discovery, "call-accepted", {{"call", call.number()}, {"after_ms", to_ms(loop_.now() - call.began())}});
+  if (!watch_) answered_without_list();
   if (on_watching) on_watching();
 }
 
@@ -233,6 +234,16 @@
   if (how == CallEnd::refused) survey_.presumption().call_refused(call.began(), loop_.now());
   if (how == CallEnd::connect_refused) lease_.unreachable_as_of(call.began());
   if (watch_ == &call && how != CallEnd::silent) lease_.watch_closed(loop_.now());
+  bool answered = how == CallEnd::closed || how == CallEnd::malformed || how == CallEnd::out_of_date || how == CallEnd::refused;
+  if (pushed_ && !watch_ && answered) answered_without_list();
+  was_complete_ = was_complete_ && !(watch_ == &call && how == CallEnd::silent && !pushed_);
+}
+
+// Discovery is there: no outage is presumed any more, and what it has may count.
+void DestinationSet::answered_without_list() {
+  survey_.presumption().end();
+  lease_.answered_without_list(loop_.now());
+  lease_changed();
 }
 
 void DestinationSet::failed(Calls::iterator call, CallEnd how) {
--- a/node/discovery/destination_set.h
+++ b/node/discovery/destination_set.h
@@ -74,6 +74,7 @@
   void lease_changed();
   TimePoint may_send_until() const;
   bool agent_is_silent() const;
+  void answered_without_list();
   void note_end(const DiscoveryCall& call, discovery::CallEnd how);
   void establish(DiscoveryCall& call);
   void close_call(Calls::iterator call, discovery::CallEnd how);
@@ -98,7 +99,9 @@
   DiscoveryCall* watch_ = nullptr;  // the one of them that has brought something
   discovery::ListLease lease_;
   WatchSurvey survey_;
-  bool was_complete_ = false;  // the list, at some moment of this process' life
+  // The list was, up to the end of the last watch or, where lists are pushed, up to its last word. What a watch that fell silent
+  // may have missed is not known, and an outage after it does not make the list complete.
+  bool was_complete_ = false;
   bool pushed_ = false;
   TimerId next_call_ = 0, lease_end_ = 0;
   TimePoint last_heard_;
--- a/tests/logic/list_lease_test.cpp
+++ b/tests/logic/list_lease_test.cpp
@@ -57,6 +57,18 @@
   EXPECT_LE(lease.until() + kHeldUp, kStart + 1s + kGrace);
 }
 
+TEST(ListLease, AnAgentThatAnswersAgainEndsWhatItsSilenceHadGranted) {
+  ListLease lease(kPushed);
+  lease.current_as_of(kStart);
+  lease.unreachable_as_of(kStart + 10s);
+  lease.answered_without_list(kStart + 11s);
+  EXPECT_LE(lease.until() + kHeldUp, kStart + 11s + kGrace);
+  ListLease asked(kAsked);
+  asked.current_as_of(kStart);
+  asked.answered_without_list(kStart + 1s);
+  EXPECT_TRUE(asked.valid(kStart + 5s)) << "asked for, it has six seconds to tell";
+}
+
 TEST(ListLease, WithoutAWatchItEndsWithinTheTimeThatTheSettingsGiveForAsking) {
   ListLease lease({.pushed = false, .drain_grace = kGrace, .ask_within = 2s});
   lease.current_as_of(kStart);
