--- a/lab/fault_shim.cpp
+++ b/lab/fault_shim.cpp
@@ -1,5 +1,5 @@
-// Loaded into a node by the lab (LD_PRELOAD): system calls fail for a moment or move one byte as Linux documents it, and the
-// wall clock is stepped. The monotonic clock is left alone.
+// Loaded into a node by the lab (LD_PRELOAD): system calls fail for a moment or move one byte as Linux
+// documents it, and the wall clock is stepped. The monotonic clock is left alone.
 #include "fault_shim.h"
 
 #include <dlfcn.h>
--- a/lab/soak.cpp
+++ b/lab/soak.cpp
@@ -33,10 +33,14 @@
 
  private:
   int below(int n) { return static_cast<int>(random_(static_cast<std::uint32_t>(n))); }
-  double uniform(double from, double to) { return from + (to - from) * std::uniform_real_distribution<double>()(random_); }
+  double uniform(double from, double to) {
+    return from + (to - from) * std::uniform_real_distribution<double>()(random_);
+  }
   bool chance(double p) { return uniform(0, 1) < p; }
   template <typename T>
-  const T& one_of(const std::vector<T>& all) { return all[static_cast<std::size_t>(below(static_cast<int>(all.size())))]; }
+  const T& one_of(const std::vector<T>& all) {
+    return all[static_cast<std::size_t>(below(static_cast<int>(all.size())))];
+  }
   std::string node() { return "n" + std::to_string(below(options_.processes)); }
   std::string nodes() { return chance(0.4) ? "all" : node(); }
 
@@ -48,20 +52,26 @@
   void at(double when, const std::string& what) { line("  (at %.3fs %s)\n", when, what.c_str()); }
 
   void head() {
-    int configured = chance(0.3) ? options_.processes : std::max(options_.processes, below(kMostConfigured + 1));
+    int configured =
+        chance(0.3) ? options_.processes : std::max(options_.processes, below(kMostConfigured + 1));
     pushed_ = chance(0.35);
-    line("(experiment soak\n  (lists %s) (configured %d) (ask-within %s)\n", pushed_ ? "push" : "ask", configured, chance(0.3) ? "8s" : "30s");
-    line("  (nodes %d) (load %d) (lasts %ds) (rude %.2f) (quitters %.2f)\n", options_.processes, 10 * options_.processes, options_.seconds, chance(0.5) ? 0.2 : 0.0,
-         chance(0.5) ? 0.1 : 0.0);
+    line("(experiment soak\n  (lists %s) (configured %d) (ask-within %s)\n", pushed_ ? "push" : "ask",
+         configured, chance(0.3) ? "8s" : "30s");
+    line("  (nodes %d) (load %d) (lasts %ds) (rude %.2f) (quitters %.2f)\n", options_.processes,
+         10 * options_.processes, options_.seconds, chance(0.5) ? 0.2 : 0.0, chance(0.5) ? 0.1 : 0.0);
     if (chance(0.5)) {
       out_.kinds.insert("syscalls");
       line("  (failing-calls %.4f) (short-calls %.4f)\n", uniform(0.0005, 0.01), uniform(0.001, 0.05));
     }
     bool short_deadlines = chance(0.4);
-    line("  (class price-check (effect safe) (target 400ms) (stretch 2) (run 20ms) (patience %s))\n", short_deadlines ? "600ms" : "4s");
-    line("  (class hold-copy (effect keyed) (window %s) (target 300ms) (run 30ms) (patience %s))\n", chance(0.5) ? "1s" : "10s", short_deadlines ? "800ms" : "5s");
-    line("  (class close-sale (effect unsafe) (target 500ms) (run 40ms) (share 0.5) (patience %s))\n", short_deadlines ? "1s" : "8s");
-    for (const std::string& group : kGroups) line("  (boxes %s (site site-%s) (count %d) (cores 4))\n", group.c_str(), group.c_str(), 4 + below(5));
+    line("  (class price-check (effect safe) (target 400ms) (stretch 2) (run 20ms) (patience %s))\n",
+         short_deadlines ? "600ms" : "4s");
+    line("  (class hold-copy (effect keyed) (window %s) (target 300ms) (run 30ms) (patience %s))\n",
+         chance(0.5) ? "1s" : "10s", short_deadlines ? "800ms" : "5s");
+    line("  (class close-sale (effect unsafe) (target 500ms) (run 40ms) (share 0.5) (patience %s))\n",
+         short_deadlines ? "1s" : "8s");
+    for (const std::string& group : kGroups)
+      line("  (boxes %s (site site-%s) (count %d) (cores 4))\n", group.c_str(), group.c_str(), 4 + below(5));
   }
 
   void drain(double when) {
@@ -69,7 +79,8 @@
     const std::string& group = one_of(kGroups);
     bool removed = chance(0.4);
     char what[64];
-    std::snprintf(what, sizeof what, removed ? "(remove %s %.2f)" : "(drain %s %.2f)", group.c_str(), uniform(0.2, 0.6));
+    std::snprintf(what, sizeof what, removed ? "(remove %s %.2f)" : "(drain %s %.2f)", group.c_str(),
+                  uniform(0.2, 0.6));
     at(when, what);
     if (!removed && chance(0.5)) at(when + uniform(4, 10), "(ready " + group + ")");
     out_.kinds.insert(removed ? "remove" : "drain");
@@ -107,7 +118,8 @@
   }
 
   void calls(double when) {
-    static const std::vector<std::string> faults = {"refused", "endless", "reset", "silent", "head", "half", "cut", "slow"};
+    static const std::vector<std::string> faults = {"refused", "endless", "reset", "silent",
+                                                    "head",    "half",    "cut",   "slow"};
     out_.kinds.insert("calls");
     int affected = 1 + below(options_.processes);
     for (int i = 0; i < affected; ++i) {
--- a/logic/discovery/outage_presumption.h
+++ b/logic/discovery/outage_presumption.h
@@ -1,8 +1,9 @@
-// Whether an outage of discovery is presumed, so that the list from before it goes on serving. A call that is answered with
-// 503 after it has waited in line says that discovery is down or crowded, and cannot tell which. In a crowd some processes
-// of the fleet have a watch, in an outage none has: so peers are asked, a few drawn ones each second. An outage is presumed
-// only while this process' own calls are refused, some peers have lately said that they have no watch either, and none
-// that it has one. Silence of the peers presumes nothing. Pure: time is an argument.
+// Whether an outage of discovery is presumed, so that the list from before it goes on serving. A call that is
+// answered with 503 after it has waited in line says that discovery is down or crowded, and cannot tell
+// which. In a crowd some processes of the fleet have a watch, in an outage none has: so peers are asked, a
+// few drawn ones each second. An outage is presumed only while this process' own calls are refused, some
+// peers have lately said that they have no watch either, and none that it has one. Silence of the peers
+// presumes nothing. Pure: time is an argument.
 #pragma once
 
 #include <optional>
--- a/logic/operation_guard/operation_guard.cpp
+++ b/logic/operation_guard/operation_guard.cpp
@@ -11,8 +11,9 @@
 
 std::string_view to_string(Reason reason) {
   constexpr std::array<std::string_view, kReasons> names = {
-      "none",         "list-lease-expired", "endpoint-not-ready", "endpoint-moved", "deadline-passed", "window-over",  "client-gone",
-      "may-have-run", "attempt-out",        "request-in-hand",    "answer-unsent",  "bytes-unread",    "process-ended"};
+      "none",          "list-lease-expired", "endpoint-not-ready", "endpoint-moved", "deadline-passed",
+      "window-over",   "client-gone",        "may-have-run",       "attempt-out",    "request-in-hand",
+      "answer-unsent", "bytes-unread",       "process-ended"};
   return names[static_cast<std::size_t>(reason)];
 }
 
@@ -37,7 +38,8 @@
   if (facts.earlier_out && !facts.parallel_allowed) return Verdict(Reason::attempt_out);
   bool may_have_run = facts.earlier_may_have_run || facts.earlier_out;
   if (may_have_run && facts.effect == reedlb::Effect::unsafe) return Verdict(Reason::may_have_run);
-  if (may_have_run && facts.effect == reedlb::Effect::keyed && !facts.in_window) return Verdict(Reason::window_over);
+  if (may_have_run && facts.effect == reedlb::Effect::keyed && !facts.in_window)
+    return Verdict(Reason::window_over);
   return Verdict(Reason::none);
 }
 
--- a/logic/operation_guard/operation_guard.h
+++ b/logic/operation_guard/operation_guard.h
@@ -1,6 +1,6 @@
-// The last word on four operations: may this be sent, repeated, closed, started now? Every path asks right before its
-// system call. The decision module keeps which worker, whether to try again and what is refused; the guard can only forbid.
-// Pure: typed facts in, a typed verdict out.
+// The last word on four operations: may this be sent, repeated, closed, started now? Every path asks right
+// before its system call. The decision module keeps which worker, whether to try again and what is refused;
+// the guard can only forbid. Pure: typed facts in, a typed verdict out.
 #pragma once
 
 #include <array>
@@ -49,10 +49,10 @@
 struct RepeatFacts {  // a further attempt of a request
   reedlb::Effect effect = reedlb::Effect::safe;
   bool parallel_allowed = false;
-  bool earlier_out = false;          // some earlier attempt
-  bool earlier_out_there = false;    // one at the same endpoint
+  bool earlier_out = false;        // some earlier attempt
+  bool earlier_out_there = false;  // one at the same endpoint
   bool earlier_may_have_run = false;
-  bool in_window = false;            // of those that may have run
+  bool in_window = false;  // of those that may have run
 };
 
 struct CloseFacts {  // of a client's connection, by this process' own choice
@@ -101,8 +101,12 @@
 // How often each operation was forbidden, by reason.
 class Refusals {
  public:
-  void count(Operation operation, Reason reason) { ++counts_[index(operation)][static_cast<std::size_t>(reason)]; }
-  std::uint64_t of(Operation operation, Reason reason) const { return counts_[index(operation)][static_cast<std::size_t>(reason)]; }
+  void count(Operation operation, Reason reason) {
+    ++counts_[index(operation)][static_cast<std::size_t>(reason)];
+  }
+  std::uint64_t of(Operation operation, Reason reason) const {
+    return counts_[index(operation)][static_cast<std::size_t>(reason)];
+  }
 
  private:
   static constexpr std::size_t kOperations = 4;
--- a/node/discovery/destination_set.cpp
+++ b/node/discovery/destination_set.cpp
@@ -128,7 +128,7 @@
 
 void DestinationSet::lease_changed() {
   loop_.cancel(lease_end_);
-  survey_.run(watch_ == nullptr);
+  survey_.run(was_complete_ && !watch_);
   TimePoint until = may_send_until();
   bool runs = loop_.now() < until;
   if (runs) lease_end_ = loop_.at(until, [this] { lease_changed(); });
--- a/node/discovery/watch_survey.cpp
+++ b/node/discovery/watch_survey.cpp
@@ -12,8 +12,12 @@
 
 }  // namespace
 
-WatchSurvey::WatchSurvey(net::EventLoop& loop, std::uint64_t seed, std::function<bool()> has_watch, std::function<void()> changed)
-    : loop_(loop), random_(static_cast<std::minstd_rand::result_type>(seed)), has_watch_(std::move(has_watch)), changed_(std::move(changed)) {}
+WatchSurvey::WatchSurvey(net::EventLoop& loop, std::uint64_t seed, std::function<bool()> has_watch,
+                         std::function<void()> changed)
+    : loop_(loop),
+      random_(static_cast<std::minstd_rand::result_type>(seed)),
+      has_watch_(std::move(has_watch)),
+      changed_(std::move(changed)) {}
 
 WatchSurvey::~WatchSurvey() { loop_.cancel(timer_); }
 
@@ -41,7 +45,8 @@
   auto message = discovery::read_watch_message(bytes);
   if (!message) return false;
   if (message->kind == Kind::question) {
-    if (peers_) peers_->tell(peer, discovery::write_watch_message({has_watch_() ? Kind::has_watch : Kind::has_none}));
+    if (peers_)
+      peers_->tell(peer, discovery::write_watch_message({has_watch_() ? Kind::has_watch : Kind::has_none}));
     return true;
   }
   if (message->kind == Kind::has_watch) presumption_.peer_has_watch(loop_.now());
--- a/node/discovery/watch_survey.h
+++ b/node/discovery/watch_survey.h
@@ -1,5 +1,5 @@
-// Asks drawn peers whether they have a watch on discovery, while this process has none, and answers theirs. What follows from
-// the answers is decided by logic/discovery/outage_presumption.
+// Asks drawn peers whether they have a watch on discovery, while this process has none, and answers theirs.
+// What follows from the answers is decided by logic/discovery/outage_presumption.
 #pragma once
 
 #include <functional>
@@ -14,7 +14,8 @@
 class WatchSurvey {
  public:
   // `has_watch`: whether this process has one; `changed`: an answer has come.
-  WatchSurvey(net::EventLoop& loop, std::uint64_t seed, std::function<bool()> has_watch, std::function<void()> changed);
+  WatchSurvey(net::EventLoop& loop, std::uint64_t seed, std::function<bool()> has_watch,
+              std::function<void()> changed);
   ~WatchSurvey();
 
   void connect(PeerPort* peers, int count, int rank);  // null: processes may not talk
--- a/node/invariants/monitor.cpp
+++ b/node/invariants/monitor.cpp
@@ -10,7 +10,7 @@
 using namespace std::chrono_literals;
 
 constexpr Duration kChangeCountsWithin = 6s;
-constexpr Duration kSlack = 200ms;          // for a process that is held up, and for messages on their way
+constexpr Duration kSlack = 200ms;  // for a process that is held up, and for messages on their way
 constexpr Duration kClientLeftSlack = 100ms;
 constexpr Duration kDeadlineSlack = 150ms;
 constexpr std::size_t kMostEvents = 40;
@@ -26,7 +26,8 @@
 }  // namespace
 
 std::string_view to_string(Rule rule) {
-  constexpr std::array<std::string_view, kRules> names = {"drain", "stale-list", "one-attempt", "repeat", "client-gone", "deadline", "answer"};
+  constexpr std::array<std::string_view, kRules> names = {
+      "drain", "stale-list", "one-attempt", "repeat", "client-gone", "deadline", "answer"};
   return names[static_cast<std::size_t>(rule)];
 }
 
@@ -52,7 +53,8 @@
   auto list = nlohmann::json::parse(object, nullptr, false);
   if (!list.is_object() || !list.contains("hosts") || !list["hosts"].is_array()) return;
   bool whole = list.contains("whole") && list["whole"] == true;
-  std::uint64_t version = list.contains("seq") && list["seq"].is_number_unsigned() ? list["seq"].get<std::uint64_t>() : version_;
+  std::uint64_t version =
+      list.contains("seq") && list["seq"].is_number_unsigned() ? list["seq"].get<std::uint64_t>() : version_;
   if (!whole && version < version_) return;  // overtaken
   version_ = version;
   if (whole)
@@ -76,7 +78,8 @@
 }
 
 void Monitor::request_read(const std::string& id, Duration patience, TimePoint now) {
-  requests_[id] = {.client_left = {}, .deadline = now + patience, .over = false, .whole_writes = 0, .out = {}};
+  requests_[id] = {
+      .client_left = {}, .deadline = now + patience, .over = false, .whole_writes = 0, .out = {}};
   note("read " + id);
 }
 
@@ -100,33 +103,39 @@
 }
 
 void Monitor::connection_closed(bool request_unanswered, bool client_left, TimePoint) {
-  if (request_unanswered && !client_left) violate(Rule::answer, "a connection was closed with a request that was read and not answered");
+  if (request_unanswered && !client_left)
+    violate(Rule::answer, "a connection was closed with a request that was read and not answered");
 }
 
 void Monitor::check_list(const std::string& id, const std::string& host, TimePoint now) {
   auto known = not_ready_since_.find(host);
   if (known != not_ready_since_.end() && known->second && now > *known->second + terms_.drain_grace + kSlack)
     violate(Rule::drain, id + " to " + host);
-  if (!confirmed_ || now > *confirmed_ + kChangeCountsWithin + terms_.drain_grace) violate(Rule::stale_list, id + " to " + host);
+  if (!confirmed_ || now > *confirmed_ + kChangeCountsWithin + terms_.drain_grace)
+    violate(Rule::stale_list, id + " to " + host);
 }
 
 void Monitor::count_whole(Request& request, const std::string& id, reedlb::Effect effect) {
   if (++request.whole_writes > 1 && effect == reedlb::Effect::unsafe) violate(Rule::repeat, id);
 }
 
-void Monitor::attempt_written(const std::string& host, std::string_view bytes, bool whole, reedlb::Effect effect, TimePoint now) {
+void Monitor::attempt_written(const std::string& host, std::string_view bytes, bool whole,
+                              reedlb::Effect effect, TimePoint now) {
   std::string id(header(bytes, "X-Trace-Id"));
   note("write " + id + " to " + host);
   check_list(id, host, now);
   auto it = requests_.find(id);
   if (it == requests_.end()) return;
   Request& request = it->second;
-  if (request.client_left && now > *request.client_left + kClientLeftSlack) violate(Rule::client_gone, id + " to " + host);
-  if (request.out.contains(host) || (!request.out.empty() && !terms_.parallel_attempts)) violate(Rule::one_attempt, id + " to " + host);
+  if (request.client_left && now > *request.client_left + kClientLeftSlack)
+    violate(Rule::client_gone, id + " to " + host);
+  if (request.out.contains(host) || (!request.out.empty() && !terms_.parallel_attempts))
+    violate(Rule::one_attempt, id + " to " + host);
   std::string_view stated = header(bytes, "X-Expires-In-Ms");
   std::int64_t told = 0;
   std::from_chars(stated.data(), stated.data() + stated.size(), told);
-  if (std::chrono::milliseconds(told) > request.deadline - now + kDeadlineSlack) violate(Rule::deadline, id + " to " + host);
+  if (std::chrono::milliseconds(told) > request.deadline - now + kDeadlineSlack)
+    violate(Rule::deadline, id + " to " + host);
   request.out.emplace(host, whole);
   if (whole) count_whole(request, id, effect);
 }
--- a/node/net/socket.h
+++ b/node/net/socket.h
@@ -9,8 +9,8 @@
 
 namespace keelflow::net {
 
-// The kernel may be short of sockets for a moment, and a process does not end for that when it starts: a few more tries
-// follow, a tenth of a second at most. Negative: it stayed so, or another fault (errno).
+// The kernel may be short of sockets for a moment, and a process does not end for that when it starts: a few
+// more tries follow, a tenth of a second at most. Negative: it stayed so, or another fault (errno).
 inline int open_socket(int family, int type) {
   constexpr int kTries = 20;
   constexpr std::chrono::milliseconds kPause(5);
--- a/tests/logic/list_lease_test.cpp
+++ b/tests/logic/list_lease_test.cpp
@@ -1,5 +1,5 @@
-// The lease of the list, in virtual time: whatever becomes of the calls, at any size of the fleet, nothing is sent by a list
-// once a change that it misses counts as received.
+// The lease of the list, in virtual time: whatever becomes of the calls, at any size of the fleet, nothing is
+// sent by a list once a change that it misses counts as received.
 #include "discovery/list_lease.h"
 
 #include <gtest/gtest.h>
@@ -95,13 +95,15 @@
 // What becomes of one call.
 enum class Fate { refused_at_once, refused_late, reset, hangs, slow, good };
 
-// One process with its watch, its calls and its lease, in a fleet of a configured size. The watch is lost, calls fail as drawn,
-// and a change is made meanwhile that only a good call brings.
+// One process with its watch, its calls and its lease, in a fleet of a configured size. The watch is lost,
+// calls fail as drawn, and a change is made meanwhile that only a good call brings.
 class Process {
  public:
-  Process(const CallPolicy& policy, const LeaseTerms& terms, std::mt19937& random) : schedule_(policy), lease_(terms), random_(random) {}
+  Process(const CallPolicy& policy, const LeaseTerms& terms, std::mt19937& random)
+      : schedule_(policy), lease_(terms), random_(random) {}
 
-  // Whether at some moment it could send although the change counted. `silent`: the watch falls silent, else it is closed.
+  // Whether at some moment it could send although the change counted. `silent`: the watch falls silent, else
+  // it is closed.
   bool sends_late(bool silent, std::vector<Fate> fates, TimePoint change, Duration counts_after) {
     TimePoint now = kStart;
     lease_.current_as_of(now);  // the last word of the watch
@@ -110,7 +112,8 @@
     schedule_.watch_lost(lost, draw());
     bool knows = false;
     for (; now < kStart + 60s; now += 5ms) {
-      if (!knows && now > std::max(change, kStart) + counts_after + kGrace && lease_.valid(now - kHeldUp)) return true;
+      if (!knows && now > std::max(change, kStart) + counts_after + kGrace && lease_.valid(now - kHeldUp))
+        return true;
       knows = play(now, fates) || knows;
     }
     return false;
@@ -169,7 +172,8 @@
 };
 
 class ListLeaseOfFleets : public testing::TestWithParam<int> {};  // configured processes
-INSTANTIATE_TEST_SUITE_P(Sizes, ListLeaseOfFleets, testing::Values(5, 16, 30, 56, 100, 200, 300, 450, 600, 750, 900),
+INSTANTIATE_TEST_SUITE_P(Sizes, ListLeaseOfFleets,
+                         testing::Values(5, 16, 30, 56, 100, 200, 300, 450, 600, 750, 900),
                          [](const auto& size) { return std::to_string(size.param); });
 
 TEST_P(ListLeaseOfFleets, NoSequenceOfFailuresLetsALateSendThrough) {
--- a/tests/logic/operation_guard_test.cpp
+++ b/tests/logic/operation_guard_test.cpp
@@ -13,7 +13,12 @@
 using namespace std::chrono_literals;
 using reedlb::Effect;
 
-const SendFacts kSend{.list_lease_valid = true, .endpoint_ready = true, .same_address = true, .client_waits = true, .in_window = true, .time_left = 1ms};
+const SendFacts kSend{.list_lease_valid = true,
+                      .endpoint_ready = true,
+                      .same_address = true,
+                      .client_waits = true,
+                      .in_window = true,
+                      .time_left = 1ms};
 
 TEST(OperationGuard, ASendIsForbiddenByEachOfItsFacts) {
   EXPECT_TRUE(may_send(kSend).allowed());
@@ -39,7 +44,11 @@
 
 TEST(OperationGuard, UnsafeWorkThatMayHaveRunIsNotRepeated) {
   for (bool out : {false, true}) {
-    RepeatFacts facts{.effect = Effect::unsafe, .parallel_allowed = true, .earlier_out = out, .earlier_may_have_run = !out, .in_window = true};
+    RepeatFacts facts{.effect = Effect::unsafe,
+                      .parallel_allowed = true,
+                      .earlier_out = out,
+                      .earlier_may_have_run = !out,
+                      .in_window = true};
     EXPECT_EQ(may_repeat(facts).reason(), Reason::may_have_run);
   }
   EXPECT_TRUE(may_repeat({.effect = Effect::unsafe, .in_window = true}).allowed()) << "it never ran";
--- a/tests/node/crossings_test.cpp
+++ b/tests/node/crossings_test.cpp
@@ -279,7 +279,8 @@
 }
 
 TEST(Crossing, WhoLeavesWhileAPlugInLooksAtItsRequestOrHoldsItIsNotSentOn) {
-  for (const char* source : {"function on_request(r) while r.id == 'A' do end end", "function on_request(r) if r.id == 'A' then return {hold = 1} end end"}) {
+  // A plug-in that spins is cut off after its budget of processor time, and its request goes on: the client leaves before.
+  for (const char* source : {"-- (budget (time 100ms))\nfunction on_request(r) while r.id == 'A' do end end", "function on_request(r) if r.id == 'A' then return {hold = 1} end end"}) {
     Options options;
     options.plugins = {{"p", source}};
     options.progress = "(heartbeat 300ms)";
--- a/tests/node/invariants_test.cpp
+++ b/tests/node/invariants_test.cpp
@@ -1,10 +1,10 @@
 // Each rule of the monitor fires on a planted fault, and not without it.
-#include "invariants/monitor.h"
-
 #include <gtest/gtest.h>
 
 #include <vector>
 
+#include "invariants/monitor.h"
+
 namespace keelflow::invariants {
 namespace {
 
@@ -15,12 +15,18 @@
 
 class InvariantMonitor : public testing::Test {
  protected:
-  InvariantMonitor() : monitor_({.drain_grace = 500ms, .parallel_attempts = false}, [this](Rule rule, const std::string&) { broken_.push_back(rule); }) {
-    monitor_.list_received(R"({"seq":1,"whole":true,"hosts":[{"host":"box","health":"ready"},{"host":"box2","health":"ready"}]})", kStart);
+  InvariantMonitor()
+      : monitor_({.drain_grace = 500ms, .parallel_attempts = false},
+                 [this](Rule rule, const std::string&) { broken_.push_back(rule); }) {
+    monitor_.list_received(
+        R"({"seq":1,"whole":true,"hosts":[{"host":"box","health":"ready"},{"host":"box2","health":"ready"}]})",
+        kStart);
     monitor_.request_read("A", 5s, kStart);
   }
-  void write(const std::string& host, TimePoint now, Effect effect = Effect::safe, int expires_ms = 100, const std::string& id = "A") {
-    std::string bytes = "POST /x HTTP/1.1\r\nHost: " + host + "\r\nX-Trace-Id: " + id + "\r\nX-Expires-In-Ms: " + std::to_string(expires_ms) + "\r\n\r\n";
+  void write(const std::string& host, TimePoint now, Effect effect = Effect::safe, int expires_ms = 100,
+             const std::string& id = "A") {
+    std::string bytes = "POST /x HTTP/1.1\r\nHost: " + host + "\r\nX-Trace-Id: " + id +
+                        "\r\nX-Expires-In-Ms: " + std::to_string(expires_ms) + "\r\n\r\n";
     monitor_.attempt_written(host, bytes, true, effect, now);
   }
   using Rules = std::vector<Rule>;
@@ -37,7 +43,8 @@
 }
 
 TEST_F(InvariantMonitor, Drain) {
-  monitor_.list_received(R"({"seq":2,"whole":false,"hosts":[{"host":"box","health":"draining"}]})", kStart + 1s);
+  monitor_.list_received(R"({"seq":2,"whole":false,"hosts":[{"host":"box","health":"draining"}]})",
+                         kStart + 1s);
   write("box", kStart + 1300ms);
   EXPECT_EQ(broken_, Rules{}) << "within the grace";
   monitor_.attempt_over("A", "box", true);
