A job that an endpoint may run is not sent again when its connection ends

Cause: OutboundCall took the end of its own connection for the end of the attempt (on_broken), whatever the endpoint had shown before. Only an answer that stayed open without its end was believed (cut_off). Evidence: record of the case, and AJobWhose202IsCutShortIsWaitedFor, which got a second attempt instead of the DELETE or the wait.

Change: attempt_evidence::conclude says for every way out what the end proves (never ran, ended, may be running, accepted). After the head of a 202 the callbacks are waited for; where a started callback or a response that may be a 202 was seen, the job is cancelled by name first, up to three times, and goes nowhere else if that is not heard. A 503 "never ran" after a reported start is no longer believed. With hedging, a further attempt does not go to an endpoint that did not hear its cancellation. The monitor keeps accepted attempts until their end is shown; it was blind before.

--- a/lab/boxes.cpp
+++ b/lab/boxes.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <random>
 
 #include "nodes.h"
 
@@ -232,7 +233,7 @@
     world_.rules.attempt_over(id);
     return connection.respond(503, "", {{"X-Never-Ran", "1"}});
   }
-  connection.respond(202, "");
+  accept(connection);
   forget(id);  // given up by its node, whose word of that is still on its way
   jobs_[id] = {.id = id, .node = node};
   queue_.push_back(id);
@@ -241,6 +242,14 @@
   start_next();
 }
 
+// The job is taken in both cases.
+void Box::accept(InboundConnection& connection) {
+  if (!std::bernoulli_distribution(world_.cut_answers)(world_.random))
+    return connection.respond(202, "");
+  connection.begin_stream(202, {});
+  connection.abandon();
+}
+
 void Box::start_next() {
   while (running_ < plan_.cores && !queue_.empty()) {
     std::string id = queue_.front();
--- a/lab/boxes.h
+++ b/lab/boxes.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <pcg_random.hpp>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -48,6 +49,8 @@
       saved;  // by key: work of cut off jobs that is done, in core milliseconds
   std::uint64_t reports = 0,
                 resumed = 0;  // progress reports told, jobs that went on from a saved state
+  double cut_answers = 0;     // share of the 202s whose connection ends inside the body
+  pcg32 random{};
   // Where the network is not loopback alone: its places, by node; and what became of attempts
   // there.
   Network* network = nullptr;
@@ -105,6 +108,7 @@
 
   void listen();
   void take(std::size_t node, InboundConnection& connection, const HttpRequest& request);
+  void accept(InboundConnection& connection);
   bool pushed_over(double work_ms);
   void start_next();
   void start(const std::string& id);
--- a/lab/plan.cpp
+++ b/lab/plan.cpp
@@ -286,6 +286,7 @@
   form.number("objects", plan.objects, 1, 1e9, "a number");
   form.number("rude", plan.rude, 0, 1, "a share");
   form.number("quitters", plan.quitters, 0, 1, "a share");
+  form.number("cut-answers", plan.cut_answers, 0, 1, "a share");
   form.number("failing-calls", plan.failing_calls, 0, 0.2, "a share up to 0.2");
   form.number("short-calls", plan.short_calls, 0, 1, "a share");
   form.span("lasts", plan.lasts, 1s, 24h);
--- a/lab/plan.h
+++ b/lab/plan.h
@@ -48,8 +48,9 @@
   std::string name;
   double configured = 0;  // processes that each node's settings name; 0: as many as there are
   double nodes = 2, load = 100, tenants = 4, objects = 5000,
-         rude = 0;      // rude: share of clients that ignore Retry-After
-  double quitters = 0;  // share of clients that leave before their time is over
+         rude = 0;         // rude: share of clients that ignore Retry-After
+  double quitters = 0;     // share of clients that leave before their time is over
+  double cut_answers = 0;  // share of the boxes' 202s that lack the end of their body
   double failing_calls = 0,
          short_calls =
              0;  // share of the nodes' system calls that fail for a moment, or move one byte
--- a/lab/run.cpp
+++ b/lab/run.cpp
@@ -81,7 +81,9 @@
                .served = {},
                .nodes = {},
                .progress = plan.progress,
-               .saved = {}},
+               .saved = {},
+               .cut_answers = plan.cut_answers,
+               .random = pcg32(settings.seed, 8)},
         crowd_(world_, plan, settings.seed) {
     room_for_descriptors();
     auto nodes = static_cast<std::size_t>(plan.nodes);
--- a/lab/soak.cpp
+++ b/lab/soak.cpp
@@ -17,7 +17,8 @@
 
 class Draw {
  public:
-  Draw(std::uint64_t seed, const SoakOptions& options) : options_(options), random_(seed, 11) {}
+  Draw(std::uint64_t seed, const SoakOptions& options)
+      : options_(options), random_(seed, 11), answers_random_(seed, 12) {}
 
   SoakDraw make() {
     head();
@@ -66,6 +67,12 @@
       line("  (failing-calls %.4f) (short-calls %.4f)\n", uniform(0.0005, 0.01),
            uniform(0.001, 0.05));
     }
+    // From a stream of its own, so that seeds noted before still draw the same faults.
+    if (std::bernoulli_distribution(0.5)(answers_random_)) {
+      out_.kinds.insert("cut-answers");
+      line("  (cut-answers %.3f)\n",
+           std::uniform_real_distribution<double>(0.01, 0.3)(answers_random_));
+    }
     bool short_deadlines = chance(0.4);
     line(
         "  (class price-check (effect safe) (target 400ms) (stretch 2) (run 20ms) (patience %s))\n",
@@ -198,7 +205,7 @@
   }
 
   SoakOptions options_;
-  pcg32 random_;
+  pcg32 random_, answers_random_;
   SoakDraw out_;
   std::set<std::string> killed_, stalled_;
   bool pushed_ = false;
--- a/node/core/attempt.h
+++ b/node/core/attempt.h
@@ -29,6 +29,7 @@
   bool has_timed_out = false;       ///< Cancelled because its time limit passed.
   bool may_send_callbacks = false;  ///< Set at its end: status callbacks may still arrive.
   bool may_have_run = false;        ///< Set at its end: the endpoint may have run it.
+  bool may_be_running = false;  ///< Set at its end: the endpoint did not receive its cancellation.
   AttemptState state = AttemptState::sent;
 
   bool is_open() const { return state != AttemptState::ended; }
--- a/node/core/attempt_tracker.cpp
+++ b/node/core/attempt_tracker.cpp
@@ -62,6 +62,7 @@
   Attempt& attempt = *find_open(ref);
   attempt.change_state(AttemptEvent::end_reported);
   attempt.may_send_callbacks = end.may_send_callbacks;
+  attempt.may_be_running = end.outcome == AttemptOutcome::cancel_undelivered;
   --open_attempts_;
   timers_.cancel(attempt.timer);
   scheduler::AttemptFinished finished;
@@ -148,9 +149,10 @@
       .is_hedging_allowed = settings_.concurrent_attempts,
       .is_in_window = timers_.now() <= write_deadline(request)};
   for (const Attempt& a : request.attempts) {
-    facts.has_earlier_attempt_in_flight = facts.has_earlier_attempt_in_flight || a.is_open();
+    bool is_in_flight = a.is_open() || a.may_be_running;
+    facts.has_earlier_attempt_in_flight = facts.has_earlier_attempt_in_flight || is_in_flight;
     facts.has_earlier_attempt_at_endpoint =
-        facts.has_earlier_attempt_at_endpoint || (a.is_open() && a.endpoint == endpoint);
+        facts.has_earlier_attempt_at_endpoint || (is_in_flight && a.endpoint == endpoint);
     facts.earlier_attempt_may_have_run = facts.earlier_attempt_may_have_run || a.may_have_run;
   }
   return operation_guard::may_repeat(facts);
--- a/node/invariants/monitor.cpp
+++ b/node/invariants/monitor.cpp
@@ -129,7 +129,11 @@
 
 void Monitor::erase_if_ended(const std::string& id) {
   auto it = requests_.find(id);
-  if (it != requests_.end() && it->second.has_ended && it->second.in_flight.empty())
+  if (it == requests_.end() || !it->second.has_ended)
+    return;
+  const auto& attempts = it->second.in_flight;
+  if (std::all_of(attempts.begin(), attempts.end(),
+                  [](const auto& a) { return a.second.has_ended; }))
     requests_.erase(it);
 }
 
@@ -157,6 +161,7 @@
                             TimePoint now) {
   if (request.client_left && now > *request.client_left + kClientLeftTolerance)
     violate(Rule::client_gone, "request " + id + " sent to " + host);
+  // One whose cancellation an accepting endpoint did not confirm is still in flight.
   bool is_same_host = request.in_flight.contains(host);
   bool is_forbidden_hedge = !request.in_flight.empty() && !terms_.parallel_attempts;
   if (is_same_host || is_forbidden_hedge)
@@ -184,7 +189,7 @@
   Request& request = it->second;
   check_request(request, id, host, now);
   check_deadline(request, id, host, bytes, now);
-  request.in_flight.emplace(host, is_complete);
+  request.in_flight.emplace(host, Attempt{.is_complete = is_complete});
   if (is_complete)
     count_complete_write(request, id, idempotency);
 }
@@ -194,26 +199,45 @@
   auto it = requests_.find(id);
   if (it == requests_.end())
     return;
-  for (auto& [host, is_complete] : it->second.in_flight) {
-    if (is_complete)
+  for (auto& [host, attempt] : it->second.in_flight) {
+    if (attempt.is_complete)
       continue;
-    is_complete = true;
+    attempt.is_complete = true;
     count_complete_write(it->second, id, idempotency);
     return;
   }
 }
 
-void Monitor::attempt_ended(const std::string& id, const std::string& host, bool never_ran) {
+// Returns the open attempt at that host, or null.
+Monitor::Attempt* Monitor::find_attempt(const std::string& id, const std::string& host) {
   auto it = requests_.find(id);
   if (it == requests_.end())
+    return nullptr;
+  auto [first, last] = it->second.in_flight.equal_range(host);
+  auto open = std::find_if(first, last, [](const auto& a) { return !a.second.has_ended; });
+  return open == last ? nullptr : &open->second;
+}
+
+void Monitor::attempt_accepted(const std::string& id, const std::string& host) {
+  if (Attempt* attempt = find_attempt(id, host))
+    attempt->is_accepted = true;
+}
+
+void Monitor::attempt_released(const std::string& id, const std::string& host) {
+  if (Attempt* attempt = find_attempt(id, host))
+    attempt->is_accepted = false;
+}
+
+void Monitor::attempt_ended(const std::string& id, const std::string& host, bool never_ran) {
+  Attempt* attempt = find_attempt(id, host);
+  if (!attempt)
     return;
-  auto attempt = it->second.in_flight.find(host);
-  if (attempt == it->second.in_flight.end())
-    return;
-  bool was_complete = attempt->second;
-  if (was_complete && never_ran)
-    --it->second.complete_writes;
-  it->second.in_flight.erase(attempt);
+  attempt->has_ended = true;
+  Request& request = requests_.at(id);
+  if (attempt->is_complete && never_ran)
+    --request.complete_writes;
+  if (!attempt->is_accepted)
+    std::erase_if(request.in_flight, [&](const auto& a) { return &a.second == attempt; });
   erase_if_ended(id);
 }
 
--- a/node/invariants/monitor.h
+++ b/node/invariants/monitor.h
@@ -78,7 +78,13 @@
   void attempt_written(const std::string& host, std::string_view bytes, bool is_complete,
                        scheduler::Idempotency idempotency, TimePoint now);
   void last_byte_written(const std::string& id, scheduler::Idempotency idempotency, TimePoint now);
-  /// `never_ran`: it is certain that the endpoint did not run the attempt.
+  /// The endpoint has shown that it has the job: by the head of a 202, or by a callback.
+  void attempt_accepted(const std::string& id, const std::string& host);
+  /// The endpoint has shown that the job is over there: by a callback, or by the response to the
+  /// DELETE.
+  void attempt_released(const std::string& id, const std::string& host);
+  /// This process takes the attempt as ended. `never_ran`: it is certain that the endpoint did not
+  /// run the attempt.
   void attempt_ended(const std::string& id, const std::string& host, bool never_ran);
 
   std::uint64_t violations() const { return violations_; }
@@ -90,12 +96,17 @@
   std::string last_events() const;
 
  private:
+  struct Attempt {
+    bool is_complete = false;  // the last byte was written
+    bool is_accepted = false;  // and the endpoint has not shown that the job is over
+    bool has_ended = false;    // for this process
+  };
   struct Request {
     std::optional<TimePoint> client_left;
     TimePoint deadline;
     bool has_ended = false;
     int complete_writes = 0;  // attempts that were completely written and may have run
-    std::multimap<std::string, bool> in_flight;  // by host: whether the last byte was written
+    std::multimap<std::string, Attempt> in_flight;  // by host; accepted ones until released
   };
 
   void record(std::string event);
@@ -107,6 +118,7 @@
                       std::string_view bytes, TimePoint now);
   void count_complete_write(Request& request, const std::string& id,
                             scheduler::Idempotency idempotency);
+  Attempt* find_attempt(const std::string& id, const std::string& host);
   void erase_if_ended(const std::string& id);
 
   Terms terms_;
--- a/node/outbound/client_connection.cpp
+++ b/node/outbound/client_connection.cpp
@@ -3,6 +3,9 @@
 #include <utility>
 
 namespace keelflow {
+namespace {
+constexpr std::size_t kResponseStart = 16;  // bytes, enough for the version and the status
+}
 
 void ClientConnection::send_job(operation_guard::SendPermit, const std::string& request,
                                 std::size_t held_back) {
@@ -16,6 +19,7 @@
 void ClientConnection::write_request(const std::string& request, std::size_t held_back) {
   from_ = connection_.written() + connection_.pending();
   size_ = request.size();
+  response_start_.clear();
   connection_.write(std::string_view(request).substr(0, size_ - held_back));
 }
 
@@ -33,6 +37,8 @@
     // request.
     if (!user_)
       return connection_.close();
+    if (response_start_.size() < kResponseStart)
+      response_start_ += bytes.substr(0, kResponseStart - response_start_.size());
     bytes.remove_prefix(parser_.feed(bytes, *this));
     if (parser_.fault() != net::HttpParser::Fault::none)
       return connection_.close(), broken();
@@ -47,8 +53,10 @@
 }
 
 void ClientConnection::on_complete() {
-  if (std::exchange(interim_, false))
+  if (std::exchange(interim_, false)) {
+    response_start_.clear();
     return;
+  }
   size_ = 0;
   if (user_)
     user_->on_complete(keep_alive_ && connection_.open());
--- a/node/outbound/client_connection.h
+++ b/node/outbound/client_connection.h
@@ -50,6 +50,9 @@
   }  // of a connection that is over, as errno; 0: it was closed in order
   TimePoint readable_since() const { return connection_.readable_since(); }
   DeliveryState delivery() const;  // of the exchange in hand
+  // The first bytes of the response to the request in hand, as far as they have arrived. Those of
+  // interim responses do not count.
+  std::string_view response_start() const { return response_start_; }
   // How long it had stood idle before it was taken for this one; zero: it is new.
   Duration stood() const { return stood_; }
   void stood(Duration span) { stood_ = span; }
@@ -81,6 +84,7 @@
   Duration stood_{};
   std::uint64_t from_ = 0, size_ = 0;  // the request in hand, in bytes of the connection
   bool keep_alive_ = true, interim_ = false;
+  std::string response_start_;
   int error_ = 0;
 };
 
--- a/node/outbound/outbound_call.cpp
+++ b/node/outbound/outbound_call.cpp
@@ -156,6 +156,8 @@
     return;
   owner_.loop_.cancel(timer_);
   status_ = head.status;
+  if (owner_.monitor_ && status_ == attempt_evidence::kAcceptedStatus && rest_.empty())
+    owner_.monitor_->attempt_accepted(payload_->id, host_);
   never_ran_ = head.find("X-Never-Ran") == "1";
   report_ = read_load_report(head.find("Endpoint-Load-Metrics"), owner_.settings_.report_names);
   reached_ = std::max(reached_, delivery());
@@ -165,16 +167,7 @@
     connection_->allow_stream();
     return;
   }
-  timer_ = owner_.loop_.at(owner_.loop_.now() + kBodyPatience, [this] { cut_off(); });
-}
-
-// An answer whose end does not come. That it has been taken is believed, as there may be something
-// to call off; that it never ran is not: half an answer proves nothing.
-void OutboundCall::cut_off() {
-  if (status_ != 202 || !rest_.empty())
-    return on_broken();
-  owner_.pool_.discard(std::move(connection_));
-  answered();
+  timer_ = owner_.loop_.at(owner_.loop_.now() + kBodyPatience, [this] { on_broken(); });
 }
 
 void OutboundCall::on_body(std::string_view bytes) {
@@ -199,62 +192,97 @@
     owner_.pool_.give_back(endpoint_, std::move(connection));
   else
     owner_.pool_.discard(std::move(connection));
-  if (state_ == State::giving_up)
+  if (state_ == State::giving_up) {
+    report_release();
     return end(doubtful_.value_or(AttemptOutcome::cancelled));
+  }
   if (state_ != State::asked)
     return;
-  if (status_ == 202 && !rest_.empty())
+  if (status_ == attempt_evidence::kAcceptedStatus && !rest_.empty())
     return on_broken();  // it cannot have taken what it does not have yet
   answered();
 }
 
 void OutboundCall::answered() {
-  if (status_ == 202) {
+  if (status_ == attempt_evidence::kAcceptedStatus) {
     state_ = State::accepted;
     reached_ = DeliveryState::accepted;
     return;
   }
+  report_release();
   bool turned_away = never_ran_ && (status_ == 503 || status_ == 504);
+  if (turned_away && told_)
+    return call_off(AttemptOutcome::error);  // it has reported the start of what never ran
   AttemptOutcome outcome = turned_away ? AttemptOutcome::rejected : AttemptOutcome::error;
   if (soon_)
     return call_off(outcome);
   end(outcome, {}, report_);
 }
 
-void OutboundCall::on_broken() {
+// Keeps what the connection shows, which is asked for after it has been discarded.
+void OutboundCall::read_evidence() {
   reached_ = delivery();
+  if (connection_)
+    may_be_accepted_ = attempt_evidence::may_be_acceptance(connection_->response_start());
+}
+
+attempt_evidence::Conclusion OutboundCall::conclusion() const {
+  return attempt_evidence::conclude({.is_fully_written = reached_ >= DeliveryState::fully_written,
+                                     .is_streaming = state_ == State::streaming,
+                                     .has_status_callback = told_,
+                                     .may_be_acceptance = may_be_accepted_,
+                                     .response_status = status_});
+}
+
+// The connection ended, or its response is malformed or lacks its end.
+void OutboundCall::on_broken() {
+  if (state_ == State::giving_up)
+    return on_delete_failed();
+  read_evidence();
   if (connection_ && status_ == 0)
     owner_.pool_.worn(connection_->stood());
   owner_.pool_.discard(std::move(connection_));
   owner_.loop_.cancel(timer_);
-  if (state_ == State::giving_up) {
-    owner_.pool_.forget(endpoint_);
-    if (deletes_ >= most_deletes_) {
-      if (accepted_)
-        ++owner_.counters_.give_ups_unheard;
-      return end(accepted_ ? AttemptOutcome::cancel_undelivered
-                           : doubtful_.value_or(AttemptOutcome::cancelled));
-    }
+  switch (conclusion()) {
+    case attempt_evidence::Conclusion::accepted:
+      return answered();
+    case attempt_evidence::Conclusion::may_be_running:
+      return call_off(AttemptOutcome::broken);
+    case attempt_evidence::Conclusion::never_ran:
+    case attempt_evidence::Conclusion::ended:
+      return end(AttemptOutcome::broken);
+  }
+}
+
+void OutboundCall::on_delete_failed() {
+  owner_.pool_.discard(std::move(connection_));
+  owner_.loop_.cancel(timer_);
+  owner_.pool_.forget(endpoint_);
+  if (deletes_ < most_deletes_) {
     timer_ = owner_.loop_.at(owner_.loop_.now() + kDeletePause, [this] { send_delete(); });
     return;
   }
-  end(AttemptOutcome::broken);
+  if (!may_be_running_)
+    return end(doubtful_.value_or(AttemptOutcome::cancelled));
+  ++owner_.counters_.give_ups_unheard;
+  end(AttemptOutcome::cancel_undelivered);
 }
 
-// Before the 202 the connection's end gives the attempt up. The 202 may be on its way, though, so
-// an endpoint that has had the whole request is told by name as well: once, as a silent machine
-// would else hold up the next attempt.
+// Before any response the connection's end gives the attempt up. The 202 may be on its way, though,
+// so an endpoint that has had the whole request is told by name as well: once, as a silent machine
+// would else hold up the next attempt. One that has shown that it has the job is told until it
+// answers.
 void OutboundCall::give_up() {
   if (state_ == State::ended || state_ == State::giving_up)
     return;
-  bool streaming = state_ == State::streaming;
-  accepted_ = state_ == State::accepted;
-  most_deletes_ = accepted_ ? kMostDeletes : 1;
-  reached_ = delivery();
+  read_evidence();
   owner_.loop_.cancel(timer_);
   owner_.pool_.discard(std::move(connection_));
-  if (streaming || reached_ < DeliveryState::fully_written)
+  attempt_evidence::Conclusion found = conclusion();
+  if (found == attempt_evidence::Conclusion::never_ran || state_ == State::streaming)
     return end(AttemptOutcome::cancelled);
+  may_be_running_ = found != attempt_evidence::Conclusion::ended;
+  most_deletes_ = may_be_running_ ? kMostDeletes : 1;
   state_ = State::giving_up;
   send_delete();
 }
@@ -281,6 +309,11 @@
                     "\r\nContent-Length: 0\r\n\r\n");
 }
 
+void OutboundCall::report_release() {
+  if (owner_.monitor_)
+    owner_.monitor_->attempt_released(payload_->id, host_);
+}
+
 void OutboundCall::news(const StatusCallback& news) {
   hear(news, !terms_.expects_earlier_callbacks);
 }
@@ -293,9 +326,14 @@
     ++owner_.counters_.news_unmatched;
     return;
   }
+  bool over = news.state == "done" || news.state == "failed" || news.state == "returned" ||
+              news.state == "lost";
+  if (over)
+    report_release();
+  else if (owner_.monitor_ && state_ != State::streaming)
+    owner_.monitor_->attempt_accepted(payload_->id, host_);
   if (news.state == "done")
     return end(AttemptOutcome::served, news.result, news.report);
-  bool over = news.state == "failed" || news.state == "returned" || news.state == "lost";
   told_ = true;
   if (over && !certain)
     return call_off(AttemptOutcome::error);
@@ -343,8 +381,8 @@
   if (was == State::ended)
     return;
   owner_.loop_.cancel(timer_);
-  bool refused =
-      was == State::asked && status_ != 0 && !told_;  // its own answer says that it was not taken
+  // Its own complete answer says that it was not taken.
+  bool refused = was == State::asked && status_ != 0 && outcome != AttemptOutcome::broken && !told_;
   reached_ = delivery();
   // It is deleted at the end of the turn only: a connection that comes up in this same turn must
   // find nothing to write.
--- a/node/outbound/outbound_call.h
+++ b/node/outbound/outbound_call.h
@@ -3,6 +3,7 @@
 
 #include <optional>
 
+#include "attempt_evidence/attempt_evidence.h"
 #include "outbound/outbound.h"
 #include "progress/event_stream.h"
 
@@ -33,13 +34,16 @@
   void on_complete(bool reusable) override;
   void on_broken() override;
 
+  void read_evidence();
+  attempt_evidence::Conclusion conclusion() const;
+  void on_delete_failed();
+  void report_release();
   operation_guard::SendVerdict may_send() const;
   void withhold(operation_guard::Reason reason);
   void write_request();
   void write_rest();
   void watch_connection();
   void answered();
-  void cut_off();
   void call_off(AttemptOutcome outcome);
   void hear(const StatusCallback& news, bool certain);
   void read_event(const SseEvent& event);
@@ -54,8 +58,10 @@
   std::string host_;
   net::Address dial_;
   std::shared_ptr<const Payload> payload_;
-  bool wants_progress_, once_, counted_ = false, accepted_ = false, told_ = false, soon_ = false,
+  bool wants_progress_, once_, counted_ = false, told_ = false, soon_ = false,
                                waits_for_list_ = false;
+  bool may_be_running_ = false;   // while it is given up: the endpoint has to be told
+  bool may_be_accepted_ = false;  // by the first bytes of a response that could not be read
   std::optional<AttemptOutcome> doubtful_;  // how it may have ended; or an earlier attempt there
   std::string rest_;                        // of the request, held back
   EndpointPort::Terms terms_;
--- a/tests/lab/soak_test.cpp
+++ b/tests/lab/soak_test.cpp
@@ -37,9 +37,9 @@
     kinds.merge(drawn.kinds);
     most_configured = std::max(most_configured, read_plan(drawn.text, "soak", {}).configured);
   }
-  EXPECT_EQ(kinds,
-            (std::set<std::string>{"calls", "clock", "crash", "discovery-down", "drain", "kill",
-                                   "reload", "remove", "silence", "stall", "syscalls", "unwatch"}));
+  EXPECT_EQ(kinds, (std::set<std::string>{"calls", "clock", "crash", "cut-answers",
+                                          "discovery-down", "drain", "kill", "reload", "remove",
+                                          "silence", "stall", "syscalls", "unwatch"}));
   EXPECT_GT(most_configured, 800);
 }
 
--- a/tests/node/crossings_test.cpp
+++ b/tests/node/crossings_test.cpp
@@ -508,6 +508,93 @@
     )");
 }
 
+// Guards against a second attempt beside one that an endpoint has accepted: its 202 was cut short,
+// which the node took for the end of the job.
+TEST(Crossing, AJobWhose202IsCutShortIsWaitedFor) {
+  for (const char* end : {"close b\n", "reset b\n"})
+    for (const char* job : {"price", "sale"})
+      play(std::string("open c\nsend c job A ") + job + R"( 15000
+        accept b box
+        expect b body
+        send b HTTP/1.1 202 Accepted\r\nContent-Length: 6\r\n\r\ntake
+        )" +
+           end + R"(
+        news A box started
+        nobody box
+        news A box done {"result":"first"}
+        expect c first
+        wait attempts_started 1
+      )");
+}
+
+// Guards against a second attempt beside a job that may run: the node could not read the response,
+// or a callback had reported the start before the connection broke. The job is cancelled by name
+// first.
+TEST(Crossing, AJobThatMayRunWhenItsConnectionBreaksIsCalledOffBeforeTheNextAttempt) {
+  for (const char* seen :
+       {"send b HTTP/1.1 2\nreset b\n", "send b HTTP/1.1 202 Accepted\\r\\nContent-Le\nclose b\n",
+        "send b HTTP/1.1 202 Accepted\\r\\nno header\\r\\n\\r\\n\nclosed b\n",
+        "send b HTTP/1.1 202 Accepted\\r\\nContent-Length: x\\r\\n\\r\\n\nclosed b\n",
+        "news A box started\nclose b\n",
+        "news A box running {\"share\":0.1}\nsend b HTTP/1.1 500 no\\r\\nContent-Length: "
+        "9\\r\\n\\r\\na\nreset b\n"})
+    play(std::string(R"(
+      open c
+      send c job A price 15000
+      accept b box
+      expect b body
+      )") +
+         seen + R"(
+      accept d box
+      expect d DELETE /jobs/A
+      wait attempts_started 1
+      send d ok 200
+      expect d POST
+      expect d X-Trace-Id: A
+      wait attempts_started 2
+    )");
+}
+
+// Guards against a further attempt where the cancellation of a job that may run does not arrive.
+TEST(Crossing, AJobThatMayRunAndCannotBeCalledOffGoesNowhereElse) {
+  play(R"(
+    open c
+    send c job A price 15000
+    accept b box
+    expect b body
+    news A box started
+    close b
+    accept d1 box
+    expect d1 DELETE /jobs/A
+    closed d1
+    accept d2 box
+    expect d2 DELETE /jobs/A
+    closed d2
+    accept d3 box
+    expect d3 DELETE /jobs/A
+    expect c HTTP/1.1 503
+    wait give_ups_unheard 1
+    wait attempts_started 1
+  )");
+}
+
+// Guards against a repeat of unsafe work that an endpoint says never ran after it reported its
+// start.
+TEST(Crossing, WorkThatStartedIsNotRepeatedThoughItsAnswerSaysThatItNeverRan) {
+  play(R"(
+    open c
+    send c job A sale 15000
+    accept b box
+    expect b body
+    news A box started
+    send b ok 503 X-Never-Ran: 1\r\n
+    expect b DELETE /jobs/A
+    send b ok 200
+    expect c HTTP/1.1 502
+    wait attempts_started 1
+  )");
+}
+
 // A call-back names no attempt and comes again until it is answered.
 TEST(Crossing, AnEndToldOfTheAttemptBeforeAtTheSameExecutorEndsOnlyWhatIsCalledOff) {
   for (const char* class_index : {"sale", "price"}) {
--- a/tests/node/invariants_test.cpp
+++ b/tests/node/invariants_test.cpp
@@ -109,6 +109,26 @@
   EXPECT_EQ(violations_, Rules{Rule::one_attempt});
 }
 
+TEST_F(InvariantMonitor, OneAttemptWhileAnEndpointHasAJobThatTheProcessTakesAsEnded) {
+  write("box", kStart);
+  monitor_.attempt_accepted("A", "box");
+  monitor_.attempt_ended("A", "box", false);
+  write("box2", kStart);
+  EXPECT_EQ(violations_, Rules{Rule::one_attempt});
+  monitor_.attempt_ended("A", "box2", false);
+  monitor_.request_completed("A");
+  EXPECT_EQ(monitor_.records(), 0u);
+}
+
+TEST_F(InvariantMonitor, AnotherAttemptMayFollowOneThatItsEndpointHasReleased) {
+  write("box", kStart);
+  monitor_.attempt_accepted("A", "box");
+  monitor_.attempt_released("A", "box");
+  monitor_.attempt_ended("A", "box", false);
+  write("box2", kStart);
+  EXPECT_EQ(violations_, Rules{});
+}
+
 TEST_F(InvariantMonitor, Repeat) {
   write("box", kStart, Idempotency::non_idempotent);
   monitor_.attempt_ended("A", "box", true);
