One connection's share of a turn belongs to the turn, whoever asks for it

Cause: each answer called Connection::pause_reading(false), which read at once with a fresh share of 64 KiB, nested in the parser; the bytes were appended, so neither the share nor the limit of waiting bytes held.

Change: the bytes that a connection reads are counted for the loop's turn, and a nested call goes on in the outer one. A connection parses four requests in one go and the rest after the others; nothing more is parsed while answers are unsent, so that a client that does not read stays bounded. A connection with requests that are read and not yet parsed counts as busy: it is not closed as idle. next_turn takes a handler once, where each edge of a flood added one more call in every later turn (peers, plug-ins, accepting). The store's client reads four pieces in a turn; it read on without end.

--- a/node/inbound/server.cpp
+++ b/node/inbound/server.cpp
@@ -49,6 +49,7 @@
     8;  // that have something to say, when one is looked for to be closed
 constexpr std::size_t kReserve =
     6;  // a sixth more connections than wanted are accepted, for call-backs
+constexpr int kMostMessages = 4;  // of one connection, parsed in one go
 constexpr std::size_t kMostWaiting =
     16 * 1024;  // of a next request that comes early; times all connections
 
@@ -133,7 +134,7 @@
     return operation_guard::may_close({});  // it has its answer, and waits to see the end
   return operation_guard::may_close({.request_unanswered = busy_ || !parser_.idle(),
                                      .response_unsent = connection_.pending() > 0,
-                                     .bytes_unread = connection_.unread()});
+                                     .bytes_unread = connection_.unread() || has_unparsed()});
 }
 
 bool InboundConnection::crowded() {
@@ -144,7 +145,7 @@
 }
 
 int InboundConnection::spare(TimePoint now) const {
-  if (busy_ || connection_.pending() > 0)
+  if (busy_ || has_unparsed() || connection_.pending() > 0)
     return 0;
   if (!keep_alive_)
     return kOnlyLingers;
@@ -159,20 +160,46 @@
   if (!busy_ && !keep_alive_)
     return;  // answered, and closing
   waiting_ += bytes;
-  if (!busy_)
+  if (!waits_turn_)
     parse();
-  // One request at a time: little of a further one is read before the present one is answered.
-  // Reading goes on for as long as it does because that is how a client's going is noticed; a
-  // paused connection still hears of its end.
-  if (waiting_.size() > kMostWaiting)
-    connection_.pause_reading(true);
+  limit_reading();
 }
 
+// One request at a time: little of a further one is read before the present one is answered.
+// Reading goes on for as long as it does because that is how a client's going is noticed; a paused
+// connection still hears of its end.
+void InboundConnection::limit_reading() {
+  if (connection_.open())
+    connection_.pause_reading(waiting_.size() > kMostWaiting);
+}
+
+void InboundConnection::parse_later() {
+  waits_turn_ = true;
+  connection_.continue_next_turn();
+}
+
+// A client that does not read its answers gets no further ones: what is unsent stays bounded.
+bool InboundConnection::may_parse() const {
+  return !busy_ && keep_alive_ && !over_ && connection_.open() && connection_.pending() == 0;
+}
+
+void InboundConnection::on_turn() {
+  waits_turn_ = false;
+  parse();
+  limit_reading();
+}
+
+// Parses a few requests of those that are waiting; the rest has its next turn after the other
+// connections.
 void InboundConnection::parse() {
   if (std::exchange(parsing_, true))
     return;
   std::size_t used = 0;
-  while (used < waiting_.size() && !busy_ && keep_alive_ && !over_ && connection_.open()) {
+  for (int messages = 0; used < waiting_.size() && may_parse(); ++messages) {
+    if (messages == kMostMessages) {
+      parse_later();
+      break;
+    }
     bool fresh = parser_.idle();
     used += parser_.feed(std::string_view(waiting_).substr(used), *this);
     if (parser_.fault() != net::HttpParser::Fault::none) {
@@ -285,17 +312,23 @@
     guard(connection_.pending() > 0 ? kFlushPatience : kLinger);
     return connection_.close_when_flushed();
   }
-  connection_.pause_reading(false);
-  if (!waiting_.empty() && !parsing_)
-    loop_.defer([this, &loop = loop_, alive = std::weak_ptr<int>(alive_)] {
-      if (!alive.expired())
-        parse();
-    });
+  if (!parsing_)
+    go_on();
+}
+
+// After an answer: what is waiting is parsed in a later turn.
+void InboundConnection::go_on() {
+  if (!waiting_.empty())
+    parse_later();
+  else
+    limit_reading();
 }
 
 void InboundConnection::on_flushed() {
   if (!busy_ && parser_.idle())
     guard(kIdlePatience);
+  if (!busy_ && !parsing_)
+    go_on();
 }
 
 void InboundConnection::on_closed(int) {
--- a/node/inbound/server.h
+++ b/node/inbound/server.h
@@ -64,7 +64,8 @@
   // Nothing begun, nothing owed, and nothing unread: a connection that is closed must not take a
   // request with it.
   bool idle() const {
-    return !busy_ && parser_.idle() && connection_.pending() == 0 && connection_.quiet();
+    return !busy_ && !has_unparsed() && parser_.idle() && connection_.pending() == 0 &&
+           connection_.quiet();
   }
   // By this process' own choice, while its client may still want something of it.
   operation_guard::Verdict may_close() const;
@@ -79,11 +80,18 @@
   friend class Server;
   void on_data(std::string_view bytes) override;
   void on_flushed() override;
+  void on_turn() override;
   void on_closed(int error) override;
   void on_head(const net::Head& head) override;
   void on_body(std::string_view bytes) override { request_.body += bytes; }
   void on_complete() override;
   void parse();
+  // What is parsed in a later turn; after the last answer nothing is.
+  bool has_unparsed() const { return keep_alive_ && !waiting_.empty(); }
+  bool may_parse() const;
+  void limit_reading();
+  void parse_later();
+  void go_on();
   void reject();
   void finished();
   void guard(Duration patience);
@@ -97,9 +105,8 @@
   HttpRequest request_;
   std::string waiting_;  // bytes of the next request, held until this one is answered
   std::unique_ptr<Exchange> exchange_;
-  bool busy_ = false, parsing_ = false, keep_alive_ = true, over_ = false, asked_ = false;
-  std::shared_ptr<int> alive_ =
-      std::make_shared<int>(0);  // deferred work asks whether we still exist
+  bool busy_ = false, parsing_ = false, waits_turn_ = false, keep_alive_ = true, over_ = false,
+       asked_ = false;
   TimePoint since_, begun_;  // of the last answer, or the start; of the request that is being read
   TimerId timer_ = 0;
 };
--- a/node/net/connection.cpp
+++ b/node/net/connection.cpp
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <utility>
@@ -98,6 +99,14 @@
   return fd_ >= 0 && ::recv(fd_, &one, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+bool Connection::peer_ended() const {
+  if (hung_up_ || fd_ < 0)
+    return hung_up_;
+  char one;
+  ssize_t got = ::recv(fd_, &one, 1, MSG_PEEK | MSG_DONTWAIT);
+  return got == 0 || (got < 0 && errno != EAGAIN && errno != EINTR);
+}
+
 void Connection::on_ready(std::uint32_t events) {
   if (!connected_) {
     int error = 0;
@@ -133,38 +142,63 @@
   return adopted_ ? EventLoop::Order::client_gone : EventLoop::Order::peer_gone;
 }
 
+void Connection::continue_next_turn() {
+  if (fd_ >= 0 && !std::exchange(waits_turn_, true))
+    loop_.next_turn(registration_);
+}
+
 void Connection::on_turn() {
   waits_turn_ = false;
-  read();
+  events_.on_turn();
+  if (fd_ >= 0 && readable_)
+    read();
+}
+
+// What may still be read in the present turn. It is not renewed by a further call in that turn.
+std::size_t Connection::share_left() {
+  if (share_turn_ != loop_.turn()) {
+    share_turn_ = loop_.turn();
+    share_used_ = 0;
+  }
+  return kShare - std::min(kShare, share_used_);
 }
 
 void Connection::read() {
+  if (reading_)
+    return;  // called by what is done with the bytes: the outer call goes on
+  reading_ = true;
+  std::optional<int> failure = read_share();
+  reading_ = false;
+  if (failure)
+    fail(*failure);
+}
+
+// Returns the error, zero for an orderly end, if the connection is over.
+std::optional<int> Connection::read_share() {
   std::array<char, 16384> buffer;
-  for (std::size_t share = 0; fd_ >= 0 && !paused_;) {
-    if (share >= kShare) {
-      if (!std::exchange(waits_turn_, true))
-        loop_.next_turn(registration_);
-      return;
+  while (fd_ >= 0 && !paused_) {
+    if (share_left() == 0) {
+      continue_next_turn();
+      return std::nullopt;
     }
     ssize_t got = ::recv(fd_, buffer.data(), buffer.size(), 0);
     if (got > 0) {
-      share += static_cast<std::size_t>(got);
+      share_used_ += static_cast<std::size_t>(got);
       if (!lingering_)
         events_.on_data({buffer.data(), static_cast<std::size_t>(got)});
       else if ((dropped_ += static_cast<std::size_t>(got)) > kMostDropped)
-        return fail(0);
+        return 0;
     } else if (got == 0) {
-      return fail(0);
+      return 0;
     } else if (errno == EAGAIN) {
       readable_ = false;
-      return;
+      return std::nullopt;
     } else if (errno != EINTR) {
-      return fail(errno);
+      return errno;
     }
   }
   // Paused, perhaps by what was read just now: no edge will tell again that the peer has gone.
-  if (fd_ >= 0 && hung_up_)
-    fail(0);
+  return fd_ >= 0 && hung_up_ ? std::optional(0) : std::nullopt;
 }
 
 void Connection::flush() {
--- a/node/net/connection.h
+++ b/node/net/connection.h
@@ -1,6 +1,7 @@
 // A non-blocking TCP connection as an object with callbacks.
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -16,6 +17,7 @@
     virtual ~Events() = default;
     virtual void on_connected() {}
     virtual void on_data(std::string_view bytes) = 0;
+    virtual void on_turn() {}     // asked for with `continue_next_turn`
     virtual void on_flushed() {}  // everything queued so far has been handed to the kernel
     // The peer closed, reset, or never answered the connect. The Connection is closed already; last
     // call.
@@ -40,6 +42,9 @@
     flush();
   }
   void pause_reading(bool pause);
+  // Calls `on_turn` after the other connections had their turn: for an owner that has more to do
+  // than one turn's share.
+  void continue_next_turn();
 
   bool open() const { return fd_ >= 0; }
   bool quiet()
@@ -48,9 +53,9 @@
   bool connected() const { return connected_; }
   // Not later than the arrival of any byte that is being read.
   TimePoint readable_since() const { return readable_since_; }
-  bool peer_ended() const {
-    return hung_up_;
-  }  // told by the kernel, perhaps ahead of bytes that are still to be read
+  // By what the kernel knows now, perhaps ahead of bytes that are still to be read: the end may
+  // have come after the event whose bytes are being read.
+  bool peer_ended() const;
   std::size_t pending() const { return out_.size() - out_at_; }
   std::uint64_t written() const { return written_; }  // bytes that the kernel has taken
 
@@ -60,6 +65,8 @@
   void on_turn() override;
   bool start(int fd);
   void read();
+  std::optional<int> read_share();
+  std::size_t share_left();
   void flush();
   void fail(int error);
 
@@ -69,10 +76,12 @@
   std::uint64_t registration_ = 0;
   bool connected_ = false, paused_ = false, readable_ = false, close_when_flushed_ = false,
        lingering_ = false, waits_turn_ = false, hung_up_ = false, preferred_ = false,
-       adopted_ = false;
+       adopted_ = false, reading_ = false;
   TimePoint readable_since_{};
   std::string out_;
   std::size_t out_at_ = 0, dropped_ = 0;
+  std::uint64_t share_turn_ = 0;  // the turn in which `share_used_` was read
+  std::size_t share_used_ = 0;
   std::uint64_t written_ = 0;
 };
 
--- a/node/net/event_loop.cpp
+++ b/node/net/event_loop.cpp
@@ -36,6 +36,7 @@
 void EventLoop::run() {
   std::array<epoll_event, kMostEvents> events;
   while (!stopped_) {
+    ++turn_;
     // A deferred task may defer more, and a destructor may dispose of what it owned: neither list
     // may be walked while it grows.
     while (!deferred_.empty() || !graveyard_.empty()) {
--- a/node/net/event_loop.h
+++ b/node/net/event_loop.h
@@ -7,6 +7,7 @@
 #include <csignal>
 #include <functional>
 #include <memory>
+#include <set>
 #include <span>
 #include <unordered_map>
 #include <vector>
@@ -47,8 +48,12 @@
   // It brings the list: it is read in each turn that cannot bring all that is ready, too.
   void prefer(std::uint64_t registration) { preferred_.push_back(registration); }
   bool watched(std::uint64_t registration) const { return handlers_.contains(registration); }
-  // For a Handler that stops before EAGAIN, to give the others their turn: it goes on after them.
-  void next_turn(std::uint64_t registration) { unfinished_.push_back(registration); }
+  // Counts the turns: what a Handler may do in one turn belongs to this number, however often it is
+  // called in it.
+  std::uint64_t turn() const { return turn_; }
+  // For a Handler that stops before EAGAIN, to give the others their turn: it goes on after them,
+  // once however often it asks.
+  void next_turn(std::uint64_t registration) { unfinished_.insert(registration); }
 
   TimePoint now() const override { return Clock::now(); }
   // When the last look at all sockets before the present turn's began: what is found to be readable
@@ -80,13 +85,14 @@
   void sort(std::span<const epoll_event> events);
 
   int epoll_;
-  std::uint64_t last_ = 0;
+  std::uint64_t last_ = 0, turn_ = 0;
   bool stopped_ = false;
   TimePoint last_look_ = Clock::now();
   bool skipped_ = false;  // the last turn ran no timers
   std::unordered_map<std::uint64_t, Handler*> handlers_;
   TimerQueue timers_;
-  std::vector<std::uint64_t> unfinished_, preferred_;
+  std::set<std::uint64_t> unfinished_;
+  std::vector<std::uint64_t> preferred_;
   std::array<std::vector<Ready>, kOrders> ready_;  // in this turn
   std::vector<std::function<void()>> deferred_;
   std::vector<std::shared_ptr<void>> graveyard_;
--- a/node/store/store.cpp
+++ b/node/store/store.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 using namespace std::chrono_literals;
+constexpr int kMostPieces = 4;  // of 16 KiB, read in one turn of the loop
 constexpr Duration kLeastBackOff = 100ms, kMostBackOff = 5s;
 
 std::string key_of(std::string_view request) {
@@ -83,16 +84,23 @@
 
  private:
   void on_ready(std::uint32_t events) override {
-    if (events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) {
-      // One call reads one piece; the edge says only that there is something, so go on until there
-      // is not.
-      do {
-        redisAsyncHandleRead(context_);
-      } while (context_ && more());
-    }
+    if (events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR))
+      read();
     if (context_ && wants_write_ && (events & EPOLLOUT))
       write();
   }
+  void on_turn() override { read(); }
+  // One call reads one piece; the edge says only that there is something, so go on until there is
+  // not. A store that sends at full speed must not hold the loop.
+  void read() {
+    for (int pieces = 0; context_ && pieces < kMostPieces; ++pieces) {
+      redisAsyncHandleRead(context_);
+      if (!context_ || !more())
+        return;
+    }
+    if (context_)
+      loop_.next_turn(registration_);
+  }
   bool more() const {
     char one;
     ssize_t got = ::recv(context_->c.fd, &one, 1, MSG_PEEK | MSG_DONTWAIT);
