A change of the endpoint list costs what it touches; subset updates are joined

Cause: each object of the list computed the subsets of all endpoints anew (a score for each pair of dispatcher and endpoint, sorted) and copied and walked the complete list for the slow-start leases.

Change: Subsets::apply notes a change in the time of its entries; PoolDispatchers computes the subsets at once for the first change and, for those that follow, together after a pause of 1 us for each pair of dispatcher and endpoint (some ms in small fleets, about 1 s for 300 x 3,200). Which endpoints may be used does not depend on it: a draining or removed endpoint leaves the scheduler's table in the same event as before. Membership changes are joined in the same way.

--- a/logic/fleet/slow_start_leases.cpp
+++ b/logic/fleet/slow_start_leases.cpp
@@ -21,14 +21,6 @@
   return static_cast<std::uint32_t>(static_cast<std::uint64_t>(std::max(0.0, started_at)));
 }
 
-bool same_incarnations(const std::map<scheduler::EndpointId, EndpointEntry>& a,
-                       const std::map<scheduler::EndpointId, EndpointEntry>& b) {
-  return a.size() == b.size() &&
-         std::equal(a.begin(), a.end(), b.begin(), [](const auto& left, const auto& right) {
-           return left.first == right.first && left.second.started_at == right.second.started_at;
-         });
-}
-
 }  // namespace
 
 SlowStartStatistics& SlowStartStatistics::operator+=(const SlowStartStatistics& other) {
@@ -62,10 +54,7 @@
                             std::vector<Event>& notifications, scheduler::Actions& out) {
   now_ = std::max(now_, now);
   if (const auto* list = std::get_if<scheduler::EndpointList>(&event)) {
-    if (apply_list(*list))
-      rebuild_leases();
-    for (auto& [id, lease] : leases_)
-      lease.entry = endpoints_.at(id);  // its state may have changed, for example to draining
+    apply_list(*list);
   } else if (const auto* members = std::get_if<scheduler::MembershipChanged>(&event)) {
     if (members->is_alive.size() == is_alive_.size())
       is_alive_ = members->is_alive;
@@ -76,6 +65,7 @@
   } else if (std::holds_alternative<scheduler::LearnedState>(event)) {
     // The learned state includes what the old process sent until now, but not what it granted.
     started_at_ = peers_ ? now_ : -1e18;
+    has_changed_fractions_ = true;
   }
   if (leases_.empty())
     return;
@@ -100,47 +90,91 @@
   rebuild_leases();
 }
 
-// Returns true if an endpoint was added, removed or restarted.
-bool SlowStartLeases::apply_list(const scheduler::EndpointList& list) {
+// The work depends on the number of entries, not on that of all endpoints, unless the list is
+// complete.
+void SlowStartLeases::apply_list(const scheduler::EndpointList& list) {
   if (list.scope == scheduler::ListScope::failed)
-    return false;
-  std::map<scheduler::EndpointId, EndpointEntry> updated;
-  if (list.scope == scheduler::ListScope::delta)
-    updated = endpoints_;
-  for (const EndpointEntry& entry : list.entries) {
-    if (entry.state == scheduler::EndpointState::gone)
-      updated.erase(entry.endpoint);
-    else
-      updated[entry.endpoint] = entry;
+    return;
+  if (list.scope != scheduler::ListScope::delta)
+    remove_missing(list);
+  for (const EndpointEntry& entry : list.entries)
+    apply_entry(entry);
+  update_subset_places();
+}
+
+void SlowStartLeases::remove_missing(const scheduler::EndpointList& complete) {
+  std::set<scheduler::EndpointId> listed;
+  for (const EndpointEntry& entry : complete.entries)
+    listed.insert(entry.endpoint);
+  auto is_missing = [&](const auto& element) {
+    return !listed.contains(element.first);
+  };
+  std::erase_if(endpoints_, is_missing);
+  std::erase_if(leases_, is_missing);
+}
+
+void SlowStartLeases::apply_entry(const EndpointEntry& entry) {
+  if (entry.state == scheduler::EndpointState::gone) {
+    endpoints_.erase(entry.endpoint);
+    leases_.erase(entry.endpoint);
+    return;
   }
-  bool is_same = same_incarnations(updated, endpoints_);
-  endpoints_ = std::move(updated);
-  return !is_same;
+  endpoints_[entry.endpoint] = entry;
+  auto lease = leases_.find(entry.endpoint);
+  if (lease != leases_.end() && lease->second.entry.started_at == entry.started_at) {
+    lease->second.entry = entry;  // its state may have changed, for example to draining
+    return;
+  }
+  if (lease != leases_.end())
+    leases_.erase(lease);  // of a previous incarnation
+  if (!is_warming_up(entry))
+    return;
+  leases_[entry.endpoint] = make_lease(entry);
+  unnotified_.insert(entry.endpoint);
+}
+
+EndpointLease SlowStartLeases::make_lease(const EndpointEntry& entry) const {
+  EndpointLease lease;
+  lease.entry = entry;
+  lease.order = order_at(entry, dispatchers_);
+  auto self = std::find(lease.order.begin(), lease.order.end(), self_);
+  lease.place = static_cast<int>(self - lease.order.begin());
+  lease.in_subset = lease.place < subset_dispatchers_;
+  return lease;
 }
 
+// After a change of the settings: the order of the dispatchers may differ.
 void SlowStartLeases::rebuild_leases() {
-  std::erase_if(leases_, [&](const auto& lease) {
-    auto listed = endpoints_.find(lease.first);
-    return listed == endpoints_.end() || listed->second.started_at != lease.second.entry.started_at;
-  });
-  int in_subset = subset_dispatchers();
   for (const auto& [id, entry] : endpoints_) {
     if (!is_warming_up(entry))
       continue;
     EndpointLease& lease = leases_[id];
-    if (lease.order.size() != is_alive_.size())
-      lease.order = order_at(entry, dispatchers_);
-    lease.entry = entry;
-    auto self = std::find(lease.order.begin(), lease.order.end(), self_);
-    lease.place = static_cast<int>(self - lease.order.begin());
-    if (bool is_in = lease.place < in_subset; is_in != lease.in_subset) {
-      lease.in_subset = is_in;
+    EndpointLease updated = make_lease(entry);
+    if (updated.in_subset != lease.in_subset || lease.order.empty())
       lease.last_notified_fraction = -1;
-    }
+    lease.entry = entry;
+    lease.order = std::move(updated.order);
+    lease.place = updated.place;
+    lease.in_subset = updated.in_subset;
   }
+  update_subset_places();
+  has_changed_fractions_ = true;
   next_expiry_ = 0;
 }
 
+// The number of dispatchers in an endpoint's subset depends on the number of endpoints.
+void SlowStartLeases::update_subset_places() {
+  int previous = std::exchange(subset_dispatchers_, subset_dispatchers());
+  if (previous == subset_dispatchers_)
+    return;
+  for (auto& [id, lease] : leases_) {
+    bool is_in = lease.place < subset_dispatchers_;
+    if (std::exchange(lease.in_subset, is_in) != is_in)
+      lease.last_notified_fraction = -1;
+  }
+  has_changed_fractions_ = true;
+}
+
 int SlowStartLeases::subset_dispatchers() const {
   return dispatchers_per_endpoint(desired_subset_size(peers_, dispatchers_), dispatchers_,
                                   static_cast<int>(endpoints_.size()));
@@ -153,8 +187,12 @@
 // Whether work may still be in the overload window that an earlier incarnation sent, or that it
 // granted to a borrower that sent it at the lease's end.
 bool SlowStartLeases::must_wait_for_earlier_incarnation(const EndpointLease& lease) const {
+  return lease.entry.started_at <= started_at_ && now_ < earlier_incarnation_end();
+}
+
+scheduler::Time SlowStartLeases::earlier_incarnation_end() const {
   double granted_ms = peers_ ? (1 + kMaxClockDrift) * lease_length_ms_ : 0;
-  return lease.entry.started_at <= started_at_ && now_ < started_at_ + window_ms_ + granted_ms;
+  return started_at_ + window_ms_ + granted_ms;
 }
 
 double SlowStartLeases::fraction_of(const EndpointLease& lease) const {
@@ -169,24 +207,45 @@
   return is_enabled_ && peers_ && dispatchers_ > 1 && !has_sibling_process_;
 }
 
+// A fraction changes with the settings, with the size of the fleet, when work of an earlier
+// incarnation leaves the overload window, or when its lease is added. Only in the last case the
+// other leases are left alone.
+bool SlowStartLeases::must_check_all_fractions() {
+  bool is_waiting = now_ < earlier_incarnation_end();
+  bool has_ended = std::exchange(was_waiting_for_earlier_incarnation_, is_waiting) && !is_waiting;
+  return std::exchange(has_changed_fractions_, false) || has_ended;
+}
+
 void SlowStartLeases::notify_fractions(std::vector<Event>& notifications) {
   scheduler::SlowStartShares shares;
-  int in_subset = std::min(subset_dispatchers(), dispatchers_);
-  for (auto& [id, lease] : leases_) {
-    double fraction = fraction_of(lease);
-    if (fraction == lease.last_notified_fraction)
-      continue;
-    lease.last_notified_fraction = fraction;
-    scheduler::SlowStartShare share{{id, lease.in_subset, {}}, lease.entry.started_at, fraction};
-    for (int place = 0; place < in_subset; ++place)
-      if (place != lease.place)
-        share.subset.peers.push_back(lease.order[static_cast<std::size_t>(place)]);
-    shares.endpoints.push_back(std::move(share));
+  std::set<scheduler::EndpointId> added = std::exchange(unnotified_, {});
+  if (must_check_all_fractions()) {
+    for (auto& [id, lease] : leases_)
+      add_share_if_changed(lease, shares);
+  } else {
+    for (scheduler::EndpointId id : added)
+      if (auto lease = leases_.find(id); lease != leases_.end())
+        add_share_if_changed(lease->second, shares);
   }
   if (!shares.endpoints.empty())
     notifications.emplace_back(std::move(shares));
 }
 
+void SlowStartLeases::add_share_if_changed(EndpointLease& lease,
+                                           scheduler::SlowStartShares& shares) const {
+  double fraction = fraction_of(lease);
+  if (fraction == lease.last_notified_fraction)
+    return;
+  lease.last_notified_fraction = fraction;
+  scheduler::SlowStartShare share{
+      {lease.entry.endpoint, lease.in_subset, {}}, lease.entry.started_at, fraction};
+  int in_subset = std::min(subset_dispatchers_, dispatchers_);
+  for (int place = 0; place < in_subset; ++place)
+    if (place != lease.place)
+      share.subset.peers.push_back(lease.order[static_cast<std::size_t>(place)]);
+  shares.endpoints.push_back(std::move(share));
+}
+
 // Returns leases that are about to end and removes endpoints that have warmed up.
 void SlowStartLeases::expire(const Dispatcher& dispatcher, SlowStartOutput out) {
   if (now_ < next_expiry_)
--- a/logic/fleet/slow_start_leases.h
+++ b/logic/fleet/slow_start_leases.h
@@ -13,6 +13,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string_view>
 #include <vector>
 
@@ -52,15 +53,23 @@
 
  private:
   void apply_settings(const scheduler::Settings& settings);
-  bool apply_list(const scheduler::EndpointList& list);
+  void apply_list(const scheduler::EndpointList& list);
+  void remove_missing(const scheduler::EndpointList& complete);
+  void apply_entry(const scheduler::EndpointEntry& entry);
+  EndpointLease make_lease(const scheduler::EndpointEntry& entry) const;
   void rebuild_leases();
+  void update_subset_places();
   void notify_fractions(std::vector<scheduler::Event>& notifications);
+  bool must_check_all_fractions();
+  void add_share_if_changed(EndpointLease& lease, scheduler::SlowStartShares& shares) const;
   void expire(const scheduler::Dispatcher& dispatcher, SlowStartOutput out);
   void request_leases(const scheduler::Dispatcher& dispatcher, SlowStartOutput out);
   void on_message(const scheduler::PeerMessage& message, const scheduler::Dispatcher& dispatcher,
                   SlowStartOutput out);
 
   int subset_dispatchers() const;
+  /// Until then work of an earlier incarnation of this dispatcher may be in the overload window.
+  scheduler::Time earlier_incarnation_end() const;
   bool is_warming_up(const scheduler::EndpointEntry& entry) const;
   bool must_wait_for_earlier_incarnation(const EndpointLease& lease) const;
   double fraction_of(const EndpointLease& lease) const;
@@ -84,6 +93,10 @@
       endpoints_;  ///< the current endpoint list
   /// Indexed by endpoint that is warming up.
   std::map<scheduler::EndpointId, EndpointLease> leases_;
+  int subset_dispatchers_ = 0;  ///< as of the last list, for `in_subset` of the leases
+  std::set<scheduler::EndpointId> unnotified_;  ///< leases that were added since the last event
+  bool has_changed_fractions_ = false;          ///< of any lease, not only of those added
+  bool was_waiting_for_earlier_incarnation_ = true;
   std::vector<bool> is_alive_;  ///< indexed by dispatcher
   SlowStartOwner owner_;
   SlowStartBorrower borrower_;
--- a/logic/fleet/subsets.cpp
+++ b/logic/fleet/subsets.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <cstdint>
 #include <tuple>
+#include <utility>
 
 #include "fleet/mix.h"
 
@@ -30,6 +31,8 @@
 constexpr double kSmallMean = 4;
 // Ratio of candidate pairs, which are sorted, to the pairs that are needed.
 constexpr double kCandidateFactor = 5;
+// Pause after an update, in milliseconds for each pair of a dispatcher and an endpoint.
+constexpr double kPausePerPairMs = 0.001;
 
 // A dispatcher and an endpoint with their hash score.
 struct Pair {
@@ -134,38 +137,56 @@
       peers_(settings.peers),
       is_alive_(static_cast<std::size_t>(std::max(1, settings.dispatchers)), true) {}
 
-std::optional<scheduler::SubsetChanged> Subsets::after(const scheduler::Event& event) {
-  bool has_changed = false;
+bool Subsets::apply(const scheduler::Event& event) {
   if (const auto* list = std::get_if<scheduler::EndpointList>(&event))
-    has_changed = apply_list(*list);
-  else if (const auto* members = std::get_if<scheduler::MembershipChanged>(&event))
-    has_changed = apply_members(*members);
-  else if (const auto* settings = std::get_if<scheduler::SettingsChanged>(&event))
-    has_changed = apply_settings(settings->settings);
-  if (!has_changed)
-    return std::nullopt;
+    return apply_list(*list);
+  if (const auto* members = std::get_if<scheduler::MembershipChanged>(&event))
+    return apply_members(*members);
+  if (const auto* settings = std::get_if<scheduler::SettingsChanged>(&event))
+    return apply_settings(settings->settings);
+  return false;
+}
+
+const scheduler::SubsetChanged& Subsets::update() {
   last_notification_ = assign();
   return last_notification_;
 }
 
+std::optional<scheduler::SubsetChanged> Subsets::after(const scheduler::Event& event) {
+  if (!apply(event))
+    return std::nullopt;
+  return update();
+}
+
+double Subsets::update_pause_ms() const {
+  return kPausePerPairMs * static_cast<double>(endpoints_.size()) * dispatchers_;
+}
+
 bool Subsets::apply_list(const scheduler::EndpointList& list) {
   if (list.scope == scheduler::ListScope::failed)
     return false;
-  std::set<scheduler::EndpointId> updated;
   if (list.scope == scheduler::ListScope::delta)
-    updated = endpoints_;
-  for (const scheduler::EndpointEntry& entry : list.entries) {
-    if (entry.state == scheduler::EndpointState::gone)
-      updated.erase(entry.endpoint);
-    else
-      updated.insert(entry.endpoint);
-  }
-  if (updated == endpoints_)
+    return apply_entries(list, endpoints_);
+  std::set<scheduler::EndpointId> complete;
+  apply_entries(list, complete);
+  if (complete == endpoints_)
     return false;
-  endpoints_ = std::move(updated);
+  endpoints_ = std::move(complete);
   return true;
 }
 
+bool Subsets::apply_entries(const scheduler::EndpointList& list,
+                            std::set<scheduler::EndpointId>& endpoints) {
+  bool has_changed = false;
+  for (const scheduler::EndpointEntry& entry : list.entries) {
+    bool is_changed = entry.state == scheduler::EndpointState::gone
+                          ? endpoints.erase(entry.endpoint) > 0
+                          : endpoints.insert(entry.endpoint).second;
+    has_changed = has_changed || is_changed;
+  }
+  return has_changed;
+}
+
 bool Subsets::apply_members(const scheduler::MembershipChanged& members) {
   if (members.is_alive.size() != is_alive_.size() || members.is_alive == is_alive_)
     return false;
--- a/logic/fleet/subsets.h
+++ b/logic/fleet/subsets.h
@@ -37,19 +37,32 @@
 /// subset more than the desired size requires.
 int endpoints_per_dispatcher(double desired_size, int dispatchers, int endpoints);
 
-/// Notifies one Dispatcher of the subsets of all endpoints on its list, whenever they change. Owns
-/// the last notification.
+/// Notifies one Dispatcher of the subsets of all endpoints on its list. Owns the last notification.
+///
+/// An event costs only what it changes; computing the subsets costs work for each pair of a
+/// dispatcher and an endpoint. A caller that has many events therefore applies them all and
+/// computes the subsets once, `update_pause_ms` after the last time: the subsets are a preference,
+/// and which endpoints may be used at all does not depend on them.
 class Subsets {
  public:
   explicit Subsets(const scheduler::Settings& settings);
 
-  /// To be called right after each event that the Dispatcher has handled. Returns the event to pass
-  /// to the Dispatcher next if the subsets changed.
+  /// To be called right after each event that the Dispatcher has handled. Returns whether the
+  /// subsets have changed with it.
+  bool apply(const scheduler::Event& event);
+  /// Computes the subsets. Returns the event to pass to the Dispatcher next.
+  const scheduler::SubsetChanged& update();
+  /// `apply`, and `update` if the subsets changed.
   std::optional<scheduler::SubsetChanged> after(const scheduler::Event& event);
+  /// Minimum time from one update to the next, so that updates take a small part of one core
+  /// whatever the size of the fleet.
+  double update_pause_ms() const;
   const scheduler::SubsetChanged& last_notification() const { return last_notification_; }
 
  private:
   bool apply_list(const scheduler::EndpointList& list);
+  static bool apply_entries(const scheduler::EndpointList& list,
+                            std::set<scheduler::EndpointId>& endpoints);
   bool apply_members(const scheduler::MembershipChanged& members);
   bool apply_settings(const scheduler::Settings& settings);
   scheduler::SubsetChanged assign() const;
--- a/node/core/pool_dispatcher.cpp
+++ b/node/core/pool_dispatcher.cpp
@@ -19,10 +19,21 @@
                                                            const scheduler::Event& event,
                                                            scheduler::Actions& actions) {
   std::vector<scheduler::Event> follow_ups;
-  if (auto subset = subsets_.after(event))
-    follow_ups.emplace_back(std::move(*subset));
+  has_outdated_subsets_ = subsets_.apply(event) || has_outdated_subsets_;
   leases_.after(now_ms, event, dispatcher_, follow_ups, actions);
   return follow_ups;
 }
 
+std::optional<TimePoint> PoolDispatcher::subset_update_time() const {
+  if (!has_outdated_subsets_)
+    return std::nullopt;
+  return subsets_updated_ + from_ms(subsets_.update_pause_ms());
+}
+
+scheduler::SubsetChanged PoolDispatcher::update_subsets(TimePoint now) {
+  has_outdated_subsets_ = false;
+  subsets_updated_ = now;
+  return subsets_.update();
+}
+
 }  // namespace keelflow
--- a/node/core/pool_dispatcher.h
+++ b/node/core/pool_dispatcher.h
@@ -3,9 +3,11 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "core/job.h"
+#include "core/time.h"
 #include "core/timer_port.h"
 #include "fleet/slow_start_leases.h"
 #include "fleet/subsets.h"
@@ -27,6 +29,12 @@
   std::vector<scheduler::Event> update_fleet(double now_ms, const scheduler::Event& event,
                                              scheduler::Actions& actions);
 
+  /// When the subsets should be updated next; nothing if no event has changed them. Changes that
+  /// come until then take effect together.
+  std::optional<TimePoint> subset_update_time() const;
+  /// Returns the event that the Dispatcher must handle next.
+  scheduler::SubsetChanged update_subsets(TimePoint now);
+
   /// Timers fire at most once per tick, and on time if none fired within the last tick. They are
   /// not rounded up to multiples of the tick: that used up the tick that the scheduler reserves for
   /// an answer to reach its client before the client gives up.
@@ -44,6 +52,8 @@
   fleet::Subsets subsets_;
   fleet::SlowStartLeases leases_;
   TimePoint last_timer_{};
+  TimePoint subsets_updated_{};
+  bool has_outdated_subsets_ = false;
 };
 
 }  // namespace keelflow
--- a/node/core/pool_dispatchers.cpp
+++ b/node/core/pool_dispatchers.cpp
@@ -66,9 +66,31 @@
     execute(queued.pool, action);
   for (auto it = follow_ups.rbegin(); it != follow_ups.rend(); ++it)
     queue_.push_front({queued.pool, std::move(*it)});
+  update_subsets(queued.pool);
   callbacks_.on_handled(queued.event);
 }
 
+// The first change of the subsets takes effect at once, those that follow it together after a
+// pause.
+void PoolDispatchers::update_subsets(int pool) {
+  std::optional<TimePoint> when = pool_at(pool).subset_update_time();
+  if (!when)
+    return;
+  TimePoint now = timers_.now();
+  if (*when <= now) {
+    queue_.push_front({pool, pool_at(pool).update_subsets(now)});
+  } else if (!subset_timers_.contains(pool)) {
+    subset_timers_.insert(pool);
+    timers_.at(*when, [this, pool] { on_subset_timer(pool); });
+  }
+}
+
+void PoolDispatchers::on_subset_timer(int pool) {
+  subset_timers_.erase(pool);
+  if (pool_at(pool).subset_update_time())
+    post(pool, pool_at(pool).update_subsets(timers_.now()));
+}
+
 void PoolDispatchers::execute(int pool, const scheduler::Action& action) {
   const auto* timer = std::get_if<scheduler::SetTimer>(&action);
   if (!timer)
--- a/node/core/pool_dispatchers.h
+++ b/node/core/pool_dispatchers.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <set>
 #include <vector>
 
 #include "core/job.h"
@@ -74,6 +75,8 @@
   void deliver(const QueuedEvent& queued);
   void execute(int pool, const scheduler::Action& action);
   void on_timer(int pool, std::uint64_t timer);
+  void update_subsets(int pool);
+  void on_subset_timer(int pool);
 
   scheduler::Settings settings_;
   std::uint64_t seed_;
@@ -85,7 +88,8 @@
   std::vector<std::unique_ptr<PoolDispatcher>> pools_;
   std::vector<bool> alive_;  // by rank, as of the last change; empty if never reported
   std::deque<QueuedEvent> queue_;
-  scheduler::Actions actions_;  // of the event being handled
+  scheduler::Actions actions_;   // of the event being handled
+  std::set<int> subset_timers_;  // pools whose subsets a timer will update
   bool is_delivering_ = false;
   bool leases_enabled_ = true;
   bool sends_allowed_ = true;
--- a/tests/logic/subsets_test.cpp
+++ b/tests/logic/subsets_test.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <cstdio>
 #include <map>
@@ -167,5 +168,84 @@
   EXPECT_FALSE(assigned.after(scheduler::TimerFired{}));
 }
 
+// Draws events of the kinds that change a fleet.
+scheduler::Event draw_event(std::mt19937& random, scheduler::Settings& settings) {
+  auto below = [&](unsigned n) {
+    return static_cast<unsigned>(random() % n);
+  };
+  constexpr unsigned kEndpointIds = 60;
+  auto entry = [&] {
+    auto state = std::array{scheduler::EndpointState::gone, scheduler::EndpointState::ready,
+                            scheduler::EndpointState::draining}[below(3)];
+    return scheduler::EndpointEntry{1 + below(kEndpointIds), 0, 0, 0, state, 1, 1.0 * below(2)};
+  };
+  switch (below(10)) {
+    case 0: {
+      scheduler::EndpointList list;
+      for (unsigned i = below(kEndpointIds); i > 0; --i)
+        list.entries.push_back(entry());
+      return list;
+    }
+    case 1: {
+      scheduler::MembershipChanged members;
+      for (int d = 0; d < settings.dispatchers; ++d)
+        members.is_alive.push_back(below(4) > 0);
+      return members;
+    }
+    case 2:
+      settings.dispatchers = 20 + static_cast<int>(below(3));
+      return scheduler::SettingsChanged{settings, {}};
+    case 3:
+      return scheduler::EndpointList{.scope = scheduler::ListScope::failed, .entries = {}};
+    default:
+      return scheduler::EndpointList{.scope = scheduler::ListScope::delta, .entries = {entry()}};
+  }
+}
+
+// Joined and single updates end in the same subsets, whatever the order of the changes.
+TEST(Subsets, JoinedUpdatesEqualSingleOnes) {
+  for (unsigned seed = 1; seed <= 50; ++seed) {
+    std::mt19937 random(seed);
+    scheduler::Settings settings;
+    settings.dispatchers = 20;
+    settings.peers = true;
+    Subsets single(settings), joined(settings);
+    bool has_changed = false;
+    for (int i = 0; i < 60; ++i) {
+      scheduler::Event event = draw_event(random, settings);
+      single.after(event);
+      has_changed = joined.apply(event) || has_changed;
+    }
+    ASSERT_TRUE(has_changed);
+    joined.update();
+    const auto& a = single.last_notification().endpoints;
+    const auto& b = joined.last_notification().endpoints;
+    ASSERT_EQ(a.size(), b.size()) << seed;
+    for (std::size_t i = 0; i < a.size(); ++i) {
+      EXPECT_EQ(a[i].endpoint, b[i].endpoint) << seed;
+      EXPECT_EQ(a[i].is_own, b[i].is_own) << seed;
+      EXPECT_EQ(a[i].peers, b[i].peers) << seed;
+    }
+  }
+}
+
+// Few changes in a row are not held up in a small fleet, and updates take the same part of a core
+// in a large one.
+TEST(Subsets, ThePauseBetweenUpdatesGrowsWithTheWorkOfOne) {
+  auto pause_ms = [](int endpoints, int dispatchers) {
+    scheduler::Settings settings;
+    settings.dispatchers = dispatchers;
+    Subsets assigned(settings);
+    scheduler::EndpointList list;
+    for (EndpointId endpoint : draw_endpoints(endpoints, 3))
+      list.entries.push_back({endpoint, 0, 0, 0, scheduler::EndpointState::ready, 1, 0});
+    assigned.apply(list);
+    return assigned.update_pause_ms();
+  };
+  EXPECT_LE(pause_ms(12, 4), 1);
+  EXPECT_NEAR(pause_ms(400, 30), 2 * pause_ms(200, 30), 1e-9);
+  EXPECT_NEAR(pause_ms(200, 60), 2 * pause_ms(200, 30), 1e-9);
+}
+
 }  // namespace
 }  // namespace keelflow::fleet
