The lab gives no port out twice

Cause: free_address binds a port to try it and closes it again; until its owner binds it, the next call could draw it once more.

Change: the ports that a process of the lab has given out are remembered by kind. Separate runs can still meet.

--- a/lab/nodes.cpp
+++ b/lab/nodes.cpp
@@ -11,6 +11,7 @@
 #include <filesystem>
 #include <fstream>
 #include <random>
+#include <set>
 #include <sstream>
 #include <stdexcept>
 #include <thread>
@@ -106,14 +107,19 @@
   // Under those that the kernel gives to whoever asks for any: a node that is started again must
   // find its own free.
   static std::mt19937 random{std::random_device{}()};
+  // Its owner binds it later; until then the kernel would give it out again.
+  static std::set<std::pair<int, in_port_t>> given_out;
   net::Address address = *net::parse_address("127.0.0.1:0");
   int fd = socket(AF_INET, type | SOCK_CLOEXEC, 0);
   for (int tries = 0; tries < 1000; ++tries) {
     address.in.sin_port = htons(static_cast<std::uint16_t>(12'000 + random() % 20'000));
+    if (given_out.contains({type, address.in.sin_port}))
+      continue;
     if (bind(fd, reinterpret_cast<const sockaddr*>(&address.in), sizeof address.in) == 0)
       break;
   }
   ::close(fd);
+  given_out.emplace(type, address.in.sin_port);
   return address;
 }
 
--- a/tests/lab/network_test.cpp
+++ b/tests/lab/network_test.cpp
@@ -2,10 +2,14 @@
 #include "network.h"
 
 #include <gtest/gtest.h>
+#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <set>
+
 #include "inbound/server.h"
+#include "nodes.h"
 
 namespace keelflow::lab {
 namespace {
@@ -199,5 +203,15 @@
   EXPECT_FALSE(other.link(0, 1).cut || other.link(3, 0).cut);
 }
 
+// Guards against nodes that end at their start with "Address already in use": a port was given out
+// again before its first owner had bound it.
+TEST(FreeAddress, NoPortIsGivenOutTwice) {
+  constexpr std::size_t kDraws = 1000;
+  std::set<in_port_t> ports;
+  for (std::size_t i = 0; i < kDraws; ++i)
+    ports.insert(free_address(SOCK_STREAM).in.sin_port);
+  EXPECT_EQ(ports.size(), kDraws);
+}
+
 }  // namespace
 }  // namespace keelflow::lab
