Draw is_rerouted before the call in the recorded scenario

Cause: two draws of the generator stood in the arguments of one call of schedule(). C++ leaves the order of evaluation of arguments open, and the compilers for x86-64 and arm64 take different ones, so that three recorded scenarios differed on arm64.

Change: rng_.chance(0.3) is drawn into a named local before the call, which is the order that the recordings were made with. No recording, bound or check has changed.

Looked through the same file and the other drawn tests (tests/replay, tests/logic, tests/scheduler, tests/node, lab): other pairs of draws in one expression stand in braced lists, in && / || / ?: or in products, of which the recordings agree on both kinds of machine; they are left as they are.

Not run on x86-64, which is not at hand here.

--- a/tests/replay/dispatcher_day.cpp
+++ b/tests/replay/dispatcher_day.cpp
@@ -271,10 +271,13 @@
     node.work[arrival.request] = work;
     schedule(now_ + arrival.client_timeout_ms, index, ScheduledEvent::Kind::event,
              scheduler::ClientDisconnected{arrival.request});
-    if (options_.clients_disconnect && rng_.chance(0.15))
+    if (options_.clients_disconnect && rng_.chance(0.15)) {
+      // The order of evaluation of arguments is unspecified; the recordings have this draw first.
+      const bool is_rerouted = rng_.chance(0.3);
       schedule(now_ + rng_.between(0, arrival.client_timeout_ms), index,
                ScheduledEvent::Kind::event,
-               scheduler::ClientDisconnected{arrival.request, rng_.chance(0.3)});
+               scheduler::ClientDisconnected{arrival.request, is_rerouted});
+    }
     if (rng_.chance(0.05))
       schedule(now_ + rng_.between(0, 400), index, ScheduledEvent::Kind::event,
                scheduler::ResponseStreamStarted{arrival.request});
