--- a/review/6/case.py
+++ b/review/6/case.py
@@ -9,7 +9,7 @@
 
 RATE_PER_S = 400
 EXPIRES_MS = (300, 500, 800, 1200)  # in turn: clients give up after different times
-RELOADS = 30
+RELOADS = 60
 
 
 def pools(number):
