--- a/review/6/case.py
+++ b/review/6/case.py
@@ -9,7 +9,7 @@
 
 RATE_PER_S = 400
 EXPIRES_MS = (300, 500, 800, 1200)  # in turn: clients give up after different times
-RELOADS = 60
+RELOADS = 100
 
 
 def pools(number):
@@ -37,7 +37,7 @@
             fresh.write_text(pools(number))
             fresh.rename(node.own_file)
             node.signal(signal.SIGHUP)
-        await asyncio.sleep(1)
+        await asyncio.sleep(0.8)
         if node.process.returncode is not None:
             break
     traffic.cancel()
