Reroute: look up each request again, as calls into the scheduler may end any

Cause: Engine::reroute dereferenced the requests of a list that it had made before it posted events. Each event is delivered at once, and its handler runs due timers, so that a request further down the list was answered and erased. on_attempt_started had the same fault after it had told a sink.

Change: one rule at RequestTable; each request is looked up and checked when its turn comes; the new pool gets it when the former one has released it, if its client still waits. An attempt whose client left while an earlier action of the same event was executed is withheld.

--- a/node/core/engine.cpp
+++ b/node/core/engine.cpp
@@ -68,7 +68,10 @@
 void Engine::on_handled(const scheduler::Event& event) {
   if (const auto* finished = std::get_if<scheduler::AttemptFinished>(&event))
     requests_.erase_if_complete(finished->request);
-  if (const auto* disconnected = std::get_if<scheduler::ClientDisconnected>(&event))
+  const auto* disconnected = std::get_if<scheduler::ClientDisconnected>(&event);
+  if (disconnected && disconnected->is_rerouted)
+    return complete_reroute(disconnected->request);
+  if (disconnected)
     requests_.erase_if_complete(disconnected->request);
 }
 
@@ -169,23 +172,31 @@
 }
 
 // The previous Dispatcher gets an event as if the client of a rerouted request had disconnected.
-// Nothing was sent, so nothing has to be cancelled. The request keeps its deadline and counts only
-// once against its tenant's quota.
+// Nothing was sent, so nothing has to be cancelled. Handling that event may end or send requests
+// that come later in the list, so each is looked up when its turn comes.
 void Engine::reroute(int pool) {
   if (!selector_)
     return;
   for (RequestId id : requests_.reroutable_requests(pool)) {
-    Request& request = *requests_.find(id);
-    int new_pool = selector_->choose(request.job);
-    if (new_pool == pool)
+    Request* request = requests_.find(id);
+    if (!request || !request->is_reroutable_from(pool))
       continue;
-    ++counters_.requests_rehomed;
-    request.pool = new_pool;
-    pools_.post(pool, scheduler::ClientDisconnected{.request = id, .is_rerouted = true});
-    pools_.post(new_pool, arrival_of(id, request, timers_.now()));
+    request->pool = selector_->choose(request->job);
+    if (request->pool != pool)
+      pools_.post(pool, scheduler::ClientDisconnected{.request = id, .is_rerouted = true});
   }
 }
 
+// The previous Dispatcher has released the request. The request keeps its deadline and counts only
+// once against its tenant's quota.
+void Engine::complete_reroute(RequestId id) {
+  Request* request = requests_.find(id);
+  if (!request || !request->has_client())
+    return;
+  ++counters_.requests_rehomed;
+  pools_.post(request->pool, arrival_of(id, *request, timers_.now()));
+}
+
 void Engine::report_outcome(const Request& request, RequestOutcome outcome) {
   if (selector_ && !request.awaits_filter)
     selector_->on_request_ended(request.job, request.pool, request.admitted, outcome);
@@ -240,11 +251,15 @@
   attempt.timer = timers_.at(until, [this, ref] { cancel(ref, true); });
   operation_guard::Verdict verdict = attempts_.may_repeat(*request, send.endpoint);
   attempts_.add(*request, attempt);
-  if (verdict.allowed())
+  if (verdict.allowed() && request->has_client())
     return endpoints_->start(ref, send.endpoint, request->job, terms);
-  refusals_.count(operation_guard::Operation::repeat, verdict.reason());
-  log::warning(log::Subsystem::node, "repeat-forbidden",
-               {{"id", request->job.id}, {"why", operation_guard::to_string(verdict.reason())}});
+  if (!verdict.allowed()) {
+    refusals_.count(operation_guard::Operation::repeat, verdict.reason());
+    log::warning(log::Subsystem::node, "repeat-forbidden",
+                 {{"id", request->job.id}, {"why", operation_guard::to_string(verdict.reason())}});
+  } else {  // the client left while an earlier action of the same event was executed
+    refusals_.count(operation_guard::Operation::send, operation_guard::Reason::client_disconnected);
+  }
   on_attempt_ended(ref, {.outcome = AttemptOutcome::cancelled,
                          .delivery = DeliveryState::never_written,
                          .withheld = true});
@@ -260,10 +275,11 @@
 void Engine::on_attempt_started(AttemptRef ref) {
   if (!attempts_.on_started(ref))
     return;
-  if (ResponseSink* sink = requests_.find(ref.request)->sink)
+  const Request& request = *requests_.find(ref.request);  // exists: the attempt is open
+  int pool = request.pool;
+  if (ResponseSink* sink = request.sink)
     sink->on_progress({.kind = Progress::Kind::started, .attempt = ref.attempt});
-  pools_.post(requests_.find(ref.request)->pool,
-              scheduler::AttemptStarted{ref.request, ref.attempt});
+  pools_.post(pool, scheduler::AttemptStarted{ref.request, ref.attempt});
 }
 
 void Engine::on_attempt_progress(AttemptRef ref, double share) {
--- a/node/core/engine.h
+++ b/node/core/engine.h
@@ -127,6 +127,7 @@
   }
   void execute(const scheduler::Action& action);
   void on_handled(const scheduler::Event& event);
+  void complete_reroute(RequestId id);
   void reject_at_once(const Job& job, ResponseSink& sink);
   void admit(RequestId id, Request& request);
   void send(const scheduler::SendAttempt& send);
--- a/node/core/request_table.cpp
+++ b/node/core/request_table.cpp
@@ -26,6 +26,10 @@
   return arrival;
 }
 
+bool Request::is_reroutable_from(int from) const {
+  return pool == from && attempts.empty() && has_client() && !awaits_filter;
+}
+
 Request& RequestTable::add(RequestId id, Job job) {
   by_name_.emplace(job.id, id);
   Request& request = requests_[id];
@@ -51,8 +55,7 @@
 std::vector<RequestId> RequestTable::reroutable_requests(int pool) const {
   std::vector<RequestId> unsent;
   for (const auto& [id, request] : requests_) {
-    if (request.pool == pool && request.attempts.empty() && request.has_client() &&
-        !request.awaits_filter)
+    if (request.is_reroutable_from(pool))
       unsent.push_back(id);
   }
   std::sort(unsent.begin(), unsent.end());
--- a/node/core/request_table.h
+++ b/node/core/request_table.h
@@ -29,12 +29,20 @@
   bool has_client() const { return sink != nullptr; }
   /// Whether any attempt of the request has not ended.
   bool has_open_attempt() const;
+  /// Whether the request waits in `pool` and may move to another one: it has a client and no
+  /// attempt.
+  bool is_reroutable_from(int pool) const;
 };
 
 /// Returns the event that passes the request to a Dispatcher at `now`.
 scheduler::RequestArrived arrival_of(RequestId id, const Request& request, TimePoint now);
 
 /// Owns the open requests. References to a request stay valid until it is erased.
+///
+/// Every call out of the core may end and erase any request: an event passed to a Dispatcher, an
+/// answer or progress passed to a sink, a call of the filter or of the endpoint port. Across such a
+/// call the caller keeps RequestIds, looks the request up again afterwards and checks its state. A
+/// loop over requests does so for each of them.
 class RequestTable {
  public:
   /// Returns a number that no request of this process has had before.
@@ -47,8 +55,7 @@
   bool contains_name(const std::string& name) const { return by_name_.contains(name); }
   std::size_t size() const { return by_name_.size(); }
   bool is_class_in_use(int class_index) const;
-  /// Returns the requests of a pool that may be moved to another one, in order of arrival: those
-  /// without any attempt whose client still waits.
+  /// Returns the requests that may be moved from `pool` to another one, in order of arrival.
   std::vector<RequestId> reroutable_requests(int pool) const;
   /// Erases the request if it has neither a client nor an open attempt. It is kept until then
   /// because the endpoint and the status callbacks of an attempt that is being cancelled still
