Progress store: a stream for each run of a request, claimed by its first entry

Cause: the stream was named by the client's ID alone, and each process numbered its events from 1.

Change: ProgressLog claims a stream by entry 1-0, which the store takes only into an empty one; later events wait for the answer, and a taken stream is passed over for the next of eight. A replay follows the first run that has not released the ID and stays with it. A refusal that nothing was told of is not stored, so that it takes no stream. A replay whose stream the store has forgotten ends after a second. The scenario verb `absent` now looks at what has arrived, which makes it stricter.

Evidence: Store.ARunWhoseIdIsTaken..., ARunWhoseFirstEventWasLost..., AReplayStays... and AReplayEnds... failed before and pass now.

--- a/node/core/counters.h
+++ b/node/core/counters.h
@@ -86,6 +86,7 @@
   X(store_writes) \
   X(store_faults) \
   X(store_skipped) \
+  X(store_ids_taken) \
   X(replays)
 // clang-format on
 
--- a/node/progress/progress_front.cpp
+++ b/node/progress/progress_front.cpp
@@ -1,8 +1,10 @@
 #include "progress/progress_front.h"
 
 #include <charconv>
+#include <cstdio>
 #include <deque>
 #include <nlohmann/json.hpp>
+#include <random>
 
 namespace keelflow {
 namespace {
@@ -12,6 +14,9 @@
 
 constexpr std::string_view kReplayPath = "/progress/";
 constexpr Duration kReplayPause = 200ms;  // between two looks for further events
+// Looks in a row that may find nothing of a stream that had entries: its last events may still be
+// on their way to the store.
+constexpr int kMaxEmptyLooks = 5;
 
 const ExtraHeaders kStreamHeaders = {{"Content-Type", "text/event-stream"},
                                      {"Cache-Control", "no-store"}};
@@ -43,6 +48,11 @@
   return type == "done" || type == "refused" || type == "failed" || type == "cancelled";
 }
 
+// After such an end the request's ID may be used again, and names the later run.
+bool releases_id(std::string_view type) {
+  return type == "refused" || type == "cancelled";
+}
+
 // The event that ends a stream. The client has its 200 by then, so the status goes in the data.
 SseEvent final_event(const FinalAnswer& answer) {
   switch (answer.kind) {
@@ -152,8 +162,9 @@
     tell();
     SseEvent event = final_event(answer);
     event.id = std::to_string(++sequence_);
-    if (front_.store_)
-      front_.store_->append(name_, sequence_, event.type, event.data);
+    bool is_plain_refusal = answer.kind == FinalAnswer::Kind::refused && sequence_ == 1;
+    if (!is_plain_refusal)  // nothing was told of it, and it may be tried again under its ID
+      store(event.type, event.data);
     if (!writer_.begun() && answer.kind != FinalAnswer::Kind::served)
       return respond_final(connection_, answer);
     if (!writer_.begun())
@@ -164,8 +175,10 @@
   }
 
   void on_client_gone() override {
-    if (front_.store_ && sequence_ > 0)
-      front_.store_->append(name_, ++sequence_, "cancelled", "{}");
+    if (sequence_ > 0) {
+      ++sequence_;
+      store("cancelled", "{}");
+    }
     front_.engine_.on_client_disconnected(id_);
   }
 
@@ -208,8 +221,7 @@
     SseEvent out{.id = std::to_string(++sequence_),
                  .type = event.started ? "started" : "progress",
                  .data = dump(data)};
-    if (front_.store_)
-      front_.store_->append(name_, sequence_, out.type, out.data);
+    store(out.type, out.data);
     // A client that does not read costs a bounded amount: it misses progress, and still gets the
     // end.
     if (writer_.pending() > front_.settings_.most_pending) {
@@ -220,9 +232,18 @@
     writer_.write(out);
   }
 
+  // Stores the event numbered `sequence_`.
+  void store(const std::string& type, const std::string& data) {
+    if (!log_)
+      log_ = front_.begin_log(name_);
+    if (log_)
+      log_->append(sequence_, type, data, is_final(type));
+  }
+
   ProgressFront& front_;
   InboundConnection& connection_;
   EventWriter writer_;
+  std::shared_ptr<ProgressLog> log_;
   std::string name_, cls_, label_;
   int tenant_ = 0;
   RequestId id_ = 0;
@@ -231,7 +252,8 @@
 };
 
 // The events of a request that another connection, or another node, had begun: read from the shared
-// store.
+// store. An ID names its first run, as long as that one is stored, unless the run has released the
+// ID and a later one follows. Once it has written an event, a replay stays with its run.
 class ReplayStream final : public Exchange {
  public:
   ReplayStream(ProgressFront& front, InboundConnection& connection, std::string name,
@@ -243,26 +265,56 @@
         last_(after) {}
   ~ReplayStream() override { front_.loop_.cancel(timer_); }
 
-  void look() {
-    // The event that the client has already is read again: if it was the final one, there is
-    // nothing to wait for.
-    front_.store_->read(name_, last_,
-                        [this, alive = std::weak_ptr<int>(alive_)](const Store::Entries* entries) {
-                          if (!alive.expired())
-                            found(entries);
-                        });
-  }
+  // The event that the client has already is read again: if it was the final one, there is
+  // nothing to wait for.
+  void look() { read(run_, last_, front_.store_->max_entries(), &ReplayStream::on_entries); }
 
  private:
-  void found(const Store::Entries* entries) {
-    if (!entries) {
-      if (writer_.begun())
-        return connection_.abandon();  // an end without a final event: the client asks again
-      return connection_.respond(503, "the store does not answer\n", {{"Retry-After", "1"}});
-    }
-    if (entries->empty() && last_ == 0 && !writer_.begun())
+  using OnEntries = void (ReplayStream::*)(const Store::Entries& entries);
+
+  void read(int run, std::uint64_t from, std::size_t count, OnEntries then) {
+    front_.store_->read(
+        progress_stream(name_, run), from, count,
+        [this, then, alive = std::weak_ptr<int>(alive_)](const Store::Entries* entries) {
+          if (alive.expired())
+            return;
+          if (entries)
+            (this->*then)(*entries);
+          else
+            on_store_silent();
+        });
+  }
+
+  // A stream that ends without a final event is asked for again by its client.
+  void on_store_silent() {
+    if (writer_.begun())
+      return connection_.abandon();
+    connection_.respond(503, "the store does not answer\n", {{"Retry-After", "1"}});
+  }
+
+  void on_entries(const Store::Entries& entries) {
+    bool may_be_later_run = entries.empty() ? last_ > 0 : releases_id(entries.back().type);
+    if (writer_.begun() || !may_be_later_run || run_ >= kMaxStoredRuns)
+      return write(entries);
+    found_ = entries;
+    read(run_ + 1, 1, 1, &ReplayStream::on_first_of_next_run);
+  }
+
+  void on_first_of_next_run(const Store::Entries& entries) {
+    if (entries.empty())
+      return write(std::exchange(found_, {}));
+    ++run_;
+    look();
+  }
+
+  void write(const Store::Entries& entries) {
+    empty_looks_ = entries.empty() ? empty_looks_ + 1 : 0;
+    bool is_gone = entries.empty() && (last_ == 0 || empty_looks_ > kMaxEmptyLooks);
+    if (is_gone && writer_.begun())
+      return connection_.abandon();
+    if (is_gone)
       return connection_.respond(404, "no such stream\n");
-    for (const Store::Entry& entry : *entries) {
+    for (const Store::Entry& entry : entries) {
       bool known = entry.sequence <= last_;
       if (known && is_final(entry.type) && !writer_.begun())
         return connection_.respond(204, "");
@@ -290,10 +342,28 @@
   EventWriter writer_;
   std::string name_;
   std::uint64_t last_;
+  int run_ = 1;
+  Store::Entries found_;  // of this run, while the next one is looked for
+  int empty_looks_ = 0;
   TimerId timer_ = 0;
   std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
 
+std::string ProgressFront::random_name() {
+  std::random_device random;
+  char name[17];
+  std::snprintf(name, sizeof name, "%08x%08x", static_cast<unsigned>(random()),
+                static_cast<unsigned>(random()));
+  return name;
+}
+
+std::shared_ptr<ProgressLog> ProgressFront::begin_log(const std::string& request) {
+  if (!store_)
+    return nullptr;
+  std::string run = process_ + "-" + std::to_string(++logs_begun_);
+  return std::make_shared<ProgressLog>(*store_, counters_, request, std::move(run));
+}
+
 std::unique_ptr<Exchange> ProgressFront::on_request(InboundConnection& connection,
                                                     HttpRequest request) {
   bool stream = wants_stream(request.head);
@@ -325,7 +395,8 @@
   auto [end, error] = std::from_chars(last.data(), last.data() + last.size(), after);
   if (!last.empty() && (error != std::errc() || end != last.data() + last.size()))
     return connection.respond(400, "Last-Event-ID is no number\n"), nullptr;
-  if (!store_ || name.empty())
+  bool is_id = !name.empty() && name.find(':') == std::string::npos;  // no ID has a colon
+  if (!store_ || !is_id)
     return connection.respond(404, "no such stream\n"), nullptr;
   ++counters_.replays;
   auto exchange = std::make_unique<ReplayStream>(*this, connection, std::move(name), after);
--- a/node/progress/progress_front.h
+++ b/node/progress/progress_front.h
@@ -1,5 +1,6 @@
-// The second front: progress as server-sent events. The same Engine and the same rules as the
-// platform's front.
+/// \file
+/// The second front: progress as server-sent events. The same Engine and the same rules as the
+/// platform's front.
 #pragma once
 
 #include <string>
@@ -7,6 +8,7 @@
 #include "inbound/platform_front.h"
 #include "plugins/plugins.h"
 #include "progress/event_stream.h"
+#include "store/progress_log.h"
 #include "store/store.h"
 
 namespace keelflow {
@@ -34,9 +36,12 @@
   void on_malformed() override { platform_.on_malformed(); }
 
  private:
+  static std::string random_name();
   friend class ProgressStream;
   friend class ReplayStream;
   std::unique_ptr<Exchange> replay(InboundConnection& connection, const HttpRequest& request);
+  // Null if there is no store.
+  std::shared_ptr<ProgressLog> begin_log(const std::string& request);
 
   net::EventLoop& loop_;
   Engine& engine_;
@@ -46,6 +51,8 @@
   Store* store_;
   Settings settings_;
   Counters& counters_;
+  std::string process_ = random_name();  // differs between all processes, restarts included
+  std::uint64_t logs_begun_ = 0;
 };
 
 }  // namespace keelflow
--- a/node/store/store.cpp
+++ b/node/store/store.cpp
@@ -18,9 +18,8 @@
 constexpr int kMostPieces = 4;  // of 16 KiB, read in one turn of the loop
 constexpr Duration kLeastBackOff = 100ms, kMostBackOff = 5s;
 
-std::string key_of(std::string_view request) {
-  return "keelflow:progress:" + std::string(request);
-}
+// Redis answers so if the stream's last entry has this or a later ID.
+constexpr std::string_view kIdRefused = "equal or smaller";
 
 // Answers come as [[id, [field, value, ...]], ...]; what has another shape is passed over.
 Store::Entries decode(const redisReply& reply) {
@@ -44,6 +43,8 @@
         entry.type.assign(value->str, value->len);
       if (key == "data")
         entry.data.assign(value->str, value->len);
+      if (key == "run")
+        entry.run.assign(value->str, value->len);
     }
     out.push_back(std::move(entry));
   }
@@ -150,6 +151,19 @@
     else
       ++store->counters_.store_writes;
   }
+  static void on_appended(redisAsyncContext* context, void* reply, void* argument) {
+    std::unique_ptr<Store::AppendCallback> on_result(static_cast<Store::AppendCallback*>(argument));
+    auto* store = static_cast<Store*>(context->data);
+    const auto* r = static_cast<const redisReply*>(reply);
+    bool is_error = r && r->type == REDIS_REPLY_ERROR;
+    if (is_error && std::string_view(r->str, r->len).find(kIdRefused) != std::string_view::npos) {
+      store->answered();
+      ++store->counters_.store_ids_taken;
+      return (*on_result)(Store::AppendResult::refused);
+    }
+    on_written(context, reply, nullptr);
+    (*on_result)(r && !is_error ? Store::AppendResult::stored : Store::AppendResult::unknown);
+  }
   static void on_read(redisAsyncContext* context, void* reply, void* argument) {
     std::unique_ptr<Store::Reader> reader(static_cast<Store::Reader*>(argument));
     auto* store = static_cast<Store*>(context->data);
@@ -237,44 +251,54 @@
   heard_ = loop_.now();
 }
 
-void Store::append(std::string_view request, std::uint64_t sequence, std::string_view type,
-                   std::string_view data) {
-  if (!up_ || out_ >= settings_.most_out) {
-    ++counters_.store_skipped;
-    return;
-  }
-  std::string key = key_of(request), id = std::to_string(sequence) + "-0",
+bool Store::append(const std::string& stream, const Entry& entry, AppendCallback on_result) {
+  if (!up_ || out_ >= settings_.most_out)
+    return false;
+  std::string id = std::to_string(entry.sequence) + "-0",
               most = std::to_string(settings_.most_entries);
-  const char* add[] = {"XADD",     key.c_str(), "MAXLEN",    "~",    most.c_str(),
-                       id.c_str(), "type",      type.data(), "data", data.data()};
-  const std::size_t add_sizes[] = {4,         key.size(), 6,           1, most.size(),
-                                   id.size(), 4,          type.size(), 4, data.size()};
+  std::vector<std::string_view> add = {"XADD", stream, "MAXLEN",   "~",    most,
+                                       id,     "type", entry.type, "data", entry.data};
+  if (!entry.run.empty())
+    add.insert(add.end(), {"run", entry.run});
   auto span = std::chrono::duration_cast<std::chrono::milliseconds>(settings_.expiry).count();
   std::string expiry = std::to_string(span);
-  const char* expire[] = {"PEXPIRE", key.c_str(), expiry.c_str()};
-  const std::size_t expire_sizes[] = {7, key.size(), expiry.size()};
-  if (redisAsyncCommandArgv(context_, StoreHooks::on_written, nullptr, 10, add, add_sizes) ==
-      REDIS_OK)
-    sent();
-  if (redisAsyncCommandArgv(context_, StoreHooks::on_written, nullptr, 3, expire, expire_sizes) ==
-      REDIS_OK)
-    sent();
+  if (on_result) {
+    auto later = std::make_unique<AppendCallback>(std::move(on_result));
+    if (!command(StoreHooks::on_appended, later.get(), add))
+      return false;
+    later.release();
+  } else if (!command(StoreHooks::on_written, nullptr, add)) {
+    return false;
+  }
+  command(StoreHooks::on_written, nullptr, {"PEXPIRE", stream, expiry});
+  return true;
 }
 
-void Store::read(std::string_view request, std::uint64_t from, Reader reader) {
+void Store::read(const std::string& stream, std::uint64_t from, std::size_t count, Reader reader) {
   auto later = std::make_unique<Reader>(std::move(reader));
-  std::string key = key_of(request), id = std::to_string(from) + "-0",
-              most = std::to_string(settings_.most_entries);
-  const char* range[] = {"XRANGE", key.c_str(), id.c_str(), "+", "COUNT", most.c_str()};
-  const std::size_t sizes[] = {6, key.size(), id.size(), 1, 5, most.size()};
-  bool can = up_ && out_ < settings_.most_out;
-  if (can && redisAsyncCommandArgv(context_, StoreHooks::on_read, later.get(), 6, range, sizes) ==
-                 REDIS_OK) {
+  std::string id = std::to_string(from) + "-0", most = std::to_string(count);
+  if (up_ && out_ < settings_.most_out &&
+      command(StoreHooks::on_read, later.get(), {"XRANGE", stream, id, "+", "COUNT", most})) {
     later.release();
-    return sent();
+    return;
   }
   ++counters_.store_skipped;
   loop_.defer([later = std::shared_ptr<Reader>(std::move(later))] { (*later)(nullptr); });
 }
 
+bool Store::command(ReplyHandler* handler, void* argument,
+                    const std::vector<std::string_view>& words) {
+  std::vector<const char*> texts;
+  std::vector<std::size_t> sizes;
+  for (std::string_view word : words) {
+    texts.push_back(word.data());
+    sizes.push_back(word.size());
+  }
+  if (redisAsyncCommandArgv(context_, handler, argument, static_cast<int>(words.size()),
+                            texts.data(), sizes.data()) != REDIS_OK)
+    return false;
+  sent();
+  return true;
+}
+
 }  // namespace keelflow
--- a/node/store/store.h
+++ b/node/store/store.h
@@ -1,5 +1,6 @@
-// Progress and final events in Redis streams that all nodes share, so that another node can replay
-// them. Serving never waits for it: what the store does not take is counted and left out.
+/// \file
+/// The connection to the Redis whose streams all nodes share. Serving never waits for it: what the
+/// store does not take is counted and left out.
 #pragma once
 
 #include <cstdint>
@@ -16,14 +17,25 @@
 
 namespace keelflow {
 
+/// Appends to streams and reads them. Single-threaded: it is called on the event loop.
 class Store final {
  public:
+  /// One entry of a stream.
   struct Entry {
-    std::uint64_t sequence = 0;
+    std::uint64_t sequence = 0;  ///< The entry's ID in the stream is `sequence`-0.
     std::string type, data;
+    std::string run;  ///< Which run of a request owns the stream; set in its first entry only.
   };
   using Entries = std::vector<Entry>;
-  using Reader = std::function<void(const Entries*)>;  // null: the store did not answer
+  /// Gets the entries that were read, or null if the store did not answer.
+  using Reader = std::function<void(const Entries*)>;
+  /// What became of an entry.
+  enum class AppendResult : std::uint8_t {
+    stored,
+    refused,  ///< The stream has an entry with this or a later ID.
+    unknown,  ///< No answer, or another error.
+  };
+  using AppendCallback = std::function<void(AppendResult)>;
 
   struct Settings {
     net::Address address;
@@ -40,15 +52,21 @@
   Store& operator=(const Store&) = delete;
 
   void open();
-  void append(std::string_view request, std::uint64_t sequence, std::string_view type,
-              std::string_view data);
-  // The entries from that sequence on, itself included.
-  void read(std::string_view request, std::uint64_t from, Reader reader);
+  /// Appends an entry and renews the expiry of the stream. Returns false if the store is down or
+  /// has too many commands without an answer; `on_result` is called only after true.
+  bool append(const std::string& stream, const Entry& entry, AppendCallback on_result = {});
+  /// Reads at most `count` entries whose sequence is `from` or greater.
+  void read(const std::string& stream, std::uint64_t from, std::size_t count, Reader reader);
+  /// The most entries that are kept of one stream.
+  std::size_t max_entries() const { return settings_.most_entries; }
   bool up() const { return up_; }
 
  private:
   friend struct StoreHooks;
   class Socket;
+  using ReplyHandler = void(redisAsyncContext*, void* reply, void* argument);
+  // Returns false if the command was not sent.
+  bool command(ReplyHandler* handler, void* argument, const std::vector<std::string_view>& words);
   void lost();
   void sent();
   void answered();
--- a/tests/node/progress_test.cpp
+++ b/tests/node/progress_test.cpp
@@ -323,6 +323,119 @@
        with(true));
 }
 
+// Guards against foreign data: a request whose ID is open at another node wrote its events into
+// that request's stream, and who followed the first got the second's result.
+TEST(Store, ARunWhoseIdIsTakenWritesNothingIntoTheOtherRunsStream) {
+  play(R"(
+    accept r redis
+    open c progress
+    wait store_writes 0
+    send c stream A sale 15000
+    accept b box
+    expect b body
+    send b ok 202
+    news A box started
+    expect r XADD\r\n$19\r\nkeelflow:progress:A\r\n
+    expect r PEXPIRE\r\n$19\r\nkeelflow:progress:A\r\n$6\r\n600000\r\n
+    news A box running {"share":0.5}
+    news A box done {"result":"sold"}
+    expect c event: done
+    wait events_sent 3
+    absent r XADD
+    send r -ERR The ID specified in XADD is equal or smaller than the target stream top item\r\n:1\r\n
+    expect r XRANGE\r\n$19\r\nkeelflow:progress:A\r\n$3\r\n1-0\r\n
+    absent r XADD
+    send r *1\r\n*2\r\n$3\r\n1-0\r\n*4\r\n$4\r\ntype\r\n$7\r\nstarted\r\n$3\r\nrun\r\n$5\r\nother\r\n
+    expect r XADD\r\n$21\r\nkeelflow:progress:A:2\r\n
+    expect r \r\n1-0\r\n
+    expect r PEXPIRE
+    send r $3\r\n1-0\r\n:1\r\n
+    expect r XADD\r\n$21\r\nkeelflow:progress:A:2\r\n
+    expect r \r\n2-0\r\n
+    expect r progress\r\n
+    expect r XADD\r\n$21\r\nkeelflow:progress:A:2\r\n
+    expect r \r\n3-0\r\n
+    expect r done\r\n$4\r\ndata\r\n$4\r\nsold\r\n
+    wait store_ids_taken 1
+  )",
+       with(true));
+}
+
+// Guards against events without a stream: the store is lost before it has answered the first one.
+TEST(Store, ARunWhoseFirstEventWasLostClaimsItsStreamWithTheNext) {
+  play(R"(
+    accept r redis
+    open c progress
+    wait store_writes 0
+    send c stream A sale 15000
+    accept b box
+    expect b body
+    send b ok 202
+    news A box started
+    expect r \r\n1-0\r\n
+    close r
+    accept r redis
+    news A box running {"share":0.5}
+    expect r XADD\r\n$19\r\nkeelflow:progress:A\r\n
+    expect r \r\n1-0\r\n
+    expect r started\r\n
+    expect r PEXPIRE
+    absent r XADD
+    send r $3\r\n1-0\r\n:1\r\n
+    expect r XADD\r\n$19\r\nkeelflow:progress:A\r\n
+    expect r \r\n2-0\r\n
+    expect r progress\r\n
+  )",
+       with(true));
+}
+
+// Guards against a replay that changes over to another request under the same ID.
+TEST(Store, AReplayStaysWithTheFirstRunUnlessThatHasReleasedTheId) {
+  play(R"(
+    accept r redis
+    open c progress
+    send c GET /progress/A HTTP/1.1\r\nAccept: text/event-stream\r\n\r\n
+    expect r XRANGE\r\n$19\r\nkeelflow:progress:A\r\n
+    send r *1\r\n*2\r\n$3\r\n1-0\r\n*4\r\n$4\r\ntype\r\n$7\r\nstarted\r\n$4\r\ndata\r\n$2\r\n{}\r\n
+    expect c id: 1\nevent: started
+    expect r XRANGE\r\n$19\r\nkeelflow:progress:A\r\n
+    send r *1\r\n*2\r\n$3\r\n2-0\r\n*4\r\n$4\r\ntype\r\n$4\r\ndone\r\n$4\r\ndata\r\n$4\r\nsold\r\n
+    expect c event: done\ndata: sold\n\n
+    expect c 0\r\n\r\n
+    # the client of the first run had left; a second one has begun under its ID
+    send c GET /progress/B HTTP/1.1\r\nAccept: text/event-stream\r\n\r\n
+    expect r XRANGE\r\n$19\r\nkeelflow:progress:B\r\n
+    send r *1\r\n*2\r\n$3\r\n1-0\r\n*4\r\n$4\r\ntype\r\n$9\r\ncancelled\r\n$4\r\ndata\r\n$2\r\n{}\r\n
+    expect r XRANGE\r\n$21\r\nkeelflow:progress:B:2\r\n
+    send r *1\r\n*2\r\n$3\r\n1-0\r\n*4\r\n$4\r\ntype\r\n$7\r\nstarted\r\n$4\r\ndata\r\n$2\r\n{}\r\n
+    expect r XRANGE\r\n$21\r\nkeelflow:progress:B:2\r\n
+    send r *1\r\n*2\r\n$3\r\n1-0\r\n*4\r\n$4\r\ntype\r\n$4\r\ndone\r\n$4\r\ndata\r\n$4\r\nkept\r\n
+    expect c event: done\ndata: kept\n\n
+    expect c 0\r\n\r\n
+    # a stream cannot be named directly
+    send c GET /progress/B:2 HTTP/1.1\r\nAccept: text/event-stream\r\n\r\n
+    expect c HTTP/1.1 404
+  )",
+       with(true));
+}
+
+// Guards against a follower that waits without end: the store has forgotten the stream.
+TEST(Store, AReplayEndsWhenTheStoreHasForgottenItsStream) {
+  std::string nothing_is_found;
+  for (int look = 0; look < 6; ++look)
+    nothing_is_found += "expect r XRANGE\nsend r *0\\r\\n\n";
+  play(R"(
+    accept r redis
+    open c progress
+    send c GET /progress/A HTTP/1.1\r\nAccept: text/event-stream\r\n\r\n
+    expect r XRANGE
+    send r *1\r\n*2\r\n$3\r\n1-0\r\n*4\r\n$4\r\ntype\r\n$7\r\nstarted\r\n$4\r\ndata\r\n$2\r\n{}\r\n
+    expect c event: started
+  )" + nothing_is_found +
+           "closed c\nwait replays 1\nabsent r XRANGE",
+       with(true));
+}
+
 TEST(Store, AStoreThatIsSilentOrDownDoesNotStallServingAndIsCounted) {
   play(R"(
     accept r redis
--- a/tests/node/scenario.cpp
+++ b/tests/node/scenario.cpp
@@ -460,6 +460,8 @@
     std::string want = unescape(rest_of(in));
     Line& from = line(name);
     if (verb == "absent") {
+      while (!from.ended && receive(from, Clock::now())) {
+      }
       ASSERT_EQ(from.unread.find(want), std::string::npos) << from.unread;
       return;
     }
