Inbound: limit the memory of all unfinished input, and hold heads as received

Cause: a head was kept as pairs of strings, 64 bytes for a field of 4, twice; parser and connection kept buffers that an assignment of an empty string does not free; and nothing bounded the sum over all connections.

Change: a head holds its fields as received; buffers are freed; each listener adds up what its connections hold, and beyond its limit (from memory_mb) rejects the requests that have taken longest to arrive. A request that was taken is never given up for memory.

Head.ManyShortFields... failed while the parser still kept its buffer (30,092 bytes held for 15,043 received), and InputLimit.TheSlowest... while buffers were not freed.

--- a/node/config/config.cpp
+++ b/node/config/config.cpp
@@ -154,7 +154,9 @@
     auto [end, error] = std::from_chars(seed.data(), seed.data() + seed.size(), c.seed, 16);
     if (error != std::errc() || end != seed.data() + seed.size())
       throw ConfigError("config: 'seed' is not hexadecimal: '" + seed + "'");
-    c.sockets = root.value("limits", json::object()).value("sockets", std::size_t{1024});
+    const json process_limits = root.value("limits", json::object());
+    c.sockets = process_limits.value("sockets", c.sockets);
+    c.memory_mb = process_limits.value("memory_mb", c.memory_mb);
     const json& settings = root.at("settings");
     check_figures(settings);
     c.as_read = shape_of(root);
--- a/node/config/config.h
+++ b/node/config/config.h
@@ -24,6 +24,7 @@
   int listen_fd = -1;  // a listening socket that the platform holds and lends, in place of `listen`
   std::uint64_t seed = 0;
   std::size_t sockets = 1024;
+  std::size_t memory_mb = 256;  ///< What the process may use.
   scheduler::Settings settings;
   Names names;
   std::vector<std::string> report_names;
--- a/node/config/retune.cpp
+++ b/node/config/retune.cpp
@@ -62,7 +62,8 @@
   Retuned join_all(const std::function<bool(int)>& in_use) {
     Config& c = out_.config;
     c.listen = now_.listen, c.listen_fd = now_.listen_fd, c.admin = now_.admin, c.seed = now_.seed;
-    c.sockets = now_.sockets, c.peers = now_.peers, c.peer_listen = now_.peer_listen;
+    c.sockets = now_.sockets, c.memory_mb = now_.memory_mb, c.peers = now_.peers,
+    c.peer_listen = now_.peer_listen;
     c.settings.peers = now_.settings.peers;
     c.names = now_.names;
     zones_and_kinds();
--- a/node/core/counters.h
+++ b/node/core/counters.h
@@ -87,7 +87,8 @@
   X(store_faults) \
   X(store_skipped) \
   X(store_ids_taken) \
-  X(replays)
+  X(replays) \
+  X(input_shed)
 // clang-format on
 
 /// Final answers of one class whose client was still connected.
--- a/node/inbound/server.cpp
+++ b/node/inbound/server.cpp
@@ -13,6 +13,7 @@
 #include <utility>
 
 #include "log/log.h"
+#include "net/memory.h"
 #include "net/socket.h"
 
 namespace keelflow {
@@ -50,8 +51,9 @@
 constexpr std::size_t kReserve =
     6;  // a sixth more connections than wanted are accepted, for call-backs
 constexpr int kMostMessages = 4;  // of one connection, parsed in one go
-constexpr std::size_t kMostWaiting =
+constexpr std::size_t kMaxReadAhead =
     16 * 1024;  // of a next request that comes early; times all connections
+constexpr std::size_t kMaxIdleBuffer = 4 * 1024;  // kept for the next bytes; more is freed
 
 std::string_view reason(int status) {
   switch (status) {
@@ -163,6 +165,7 @@
   if (!waits_turn_)
     parse();
   limit_reading();
+  account();
 }
 
 // One request at a time: little of a further one is read before the present one is answered.
@@ -170,7 +173,30 @@
 // connection still hears of its end.
 void InboundConnection::limit_reading() {
   if (connection_.open())
-    connection_.pause_reading(waiting_.size() > kMostWaiting);
+    connection_.pause_reading(waiting_.size() > kMaxReadAhead);
+}
+
+std::size_t InboundConnection::held() const {
+  if (over_)
+    return 0;
+  return waiting_.capacity() + parser_.held() + request_.head.held() + request_.body.capacity();
+}
+
+void InboundConnection::account() {
+  std::size_t before = std::exchange(accounted_, held());
+  server_.input_.change(before, accounted_);
+  if (accounted_ > before && server_.input_.is_exceeded())
+    server_.shed_input();
+}
+
+void InboundConnection::drop_unfinished_input() {
+  keep_alive_ = false;
+  std::exchange(request_, {});
+  net::HttpParser fresh(net::HttpParser::Kind::request, {});
+  std::swap(parser_, fresh);
+  net::release(waiting_);
+  respond(503, "too much input waits for its end\n", {{"Retry-After", "1"}});
+  account();
 }
 
 void InboundConnection::parse_later() {
@@ -187,6 +213,7 @@
   waits_turn_ = false;
   parse();
   limit_reading();
+  account();
 }
 
 // Parses a few requests of those that are waiting; the rest has its next turn after the other
@@ -213,6 +240,8 @@
     }
   }
   waiting_.erase(0, used);
+  if (waiting_.empty() && waiting_.capacity() > kMaxIdleBuffer)
+    net::release(waiting_);
   parsing_ = false;
 }
 
@@ -346,6 +375,7 @@
 void InboundConnection::over() {
   if (std::exchange(over_, true))
     return;
+  account();
   loop_.cancel(timer_);
   if (auto exchange = std::move(exchange_)) {
     exchange->on_client_gone();
@@ -354,8 +384,13 @@
   server_.remove(*this);
 }
 
-Server::Server(net::EventLoop& loop, Front& front, std::size_t most_connections, Counters& counters)
-    : loop_(loop), front_(front), most_(most_connections), counters_(counters) {}
+Server::Server(net::EventLoop& loop, Front& front, std::size_t most_connections, Counters& counters,
+               std::size_t input_limit)
+    : loop_(loop),
+      front_(front),
+      most_(most_connections),
+      counters_(counters),
+      input_(input_limit) {}
 
 Server::~Server() {
   close();
@@ -493,6 +528,22 @@
   return best;
 }
 
+// The requests that have taken longest to arrive are rejected first. One that is complete is never
+// rejected for its memory.
+void Server::shed_input() {
+  while (input_.is_exceeded()) {
+    InboundConnection* slowest = nullptr;
+    for (const auto& [raw, connection] : connections_) {
+      if (raw->has_unfinished_input() && (!slowest || raw->begun() < slowest->begun()))
+        slowest = raw;
+    }
+    if (!slowest)
+      return;
+    ++counters_.input_shed;
+    slowest->drop_unfinished_input();
+  }
+}
+
 void Server::remove(InboundConnection& connection) {
   auto it = connections_.find(&connection);
   if (it == connections_.end())
--- a/node/inbound/server.h
+++ b/node/inbound/server.h
@@ -1,4 +1,5 @@
-// The inbound side: a listener, its connections, and the fronts that answer requests on them.
+/// \file
+/// The inbound side: a listener, its connections, and the fronts that answer requests on them.
 #pragma once
 
 #include <memory>
@@ -7,6 +8,7 @@
 #include <vector>
 
 #include "core/counters.h"
+#include "inbound/input_budget.h"
 #include "invariants/monitor.h"
 #include "net/connection.h"
 #include "net/http.h"
@@ -74,6 +76,12 @@
     return connection_.peer_ended();
   }  // it sent no more than what has been read so far
   TimePoint since() const { return since_; }
+  /// Whether it holds input of a request that is not complete.
+  bool has_unfinished_input() const { return !busy_ && keep_alive_ && !parser_.idle(); }
+  /// When the request that is being read began.
+  TimePoint begun() const { return begun_; }
+  /// Rejects the request that is being read and frees what was received of it.
+  void drop_unfinished_input();
   void abandon();  // closes; an exchange in hand hears that its client has gone
 
  private:
@@ -90,6 +98,8 @@
   bool has_unparsed() const { return keep_alive_ && !waiting_.empty(); }
   bool may_parse() const;
   void limit_reading();
+  std::size_t held() const;
+  void account();
   void parse_later();
   void go_on();
   void reject();
@@ -107,13 +117,18 @@
   std::unique_ptr<Exchange> exchange_;
   bool busy_ = false, parsing_ = false, waits_turn_ = false, keep_alive_ = true, over_ = false,
        asked_ = false;
+  std::size_t accounted_ = 0;  // of the server's input budget
   TimePoint since_, begun_;  // of the last answer, or the start; of the request that is being read
   TimerId timer_ = 0;
 };
 
 class Server final : net::EventLoop::Handler {
  public:
-  Server(net::EventLoop& loop, Front& front, std::size_t most_connections, Counters& counters);
+  static constexpr std::size_t kDefaultInputLimit = std::size_t{64} << 20;
+
+  /// `input_limit`: bytes that the unfinished input of all connections may hold.
+  Server(net::EventLoop& loop, Front& front, std::size_t most_connections, Counters& counters,
+         std::size_t input_limit = kDefaultInputLimit);
   ~Server() override;
 
   void listen(const net::Address& address);  // throws std::system_error
@@ -136,6 +151,7 @@
   void close();
   std::size_t connections() const { return connections_.size(); }
   std::size_t busy() const;
+  std::size_t input_held() const { return input_.held(); }
   // Called when descriptors are short; true if it freed one.
   std::function<bool()> on_pressure;
 
@@ -150,11 +166,13 @@
   InboundConnection* most_spare(TimePoint now,
                                 const std::vector<const InboundConnection*>& but) const;
   void remove(InboundConnection& connection);
+  void shed_input();
 
   net::EventLoop& loop_;
   Front& front_;
   std::size_t most_;  // beyond it jobs are refused; a reserve above it keeps call-backs coming in
   Counters& counters_;
+  InputBudget input_;
   invariants::Monitor* monitor_ = nullptr;
   int fd_ = -1;
   std::string path_;  // of a Unix socket: removed at the end
--- a/node/lifecycle/extra_listeners.cpp
+++ b/node/lifecycle/extra_listeners.cpp
@@ -3,6 +3,7 @@
 #include <cerrno>
 #include <system_error>
 
+#include "lifecycle/input_limits.h"
 #include "log/log.h"
 
 namespace keelflow {
@@ -29,8 +30,9 @@
   progress_front_ = std::make_unique<ProgressFront>(
       parts_.loop, parts_.engine, parts_.front, parts_.config.names, parts_.plugins, store_.get(),
       ProgressFront::Settings{.heartbeat = settings.heartbeat}, parts_.counters);
-  progress_server_ = std::make_unique<Server>(parts_.loop, *progress_front_,
-                                              parts_.budget.inbound / 3, parts_.counters);
+  progress_server_ = std::make_unique<Server>(
+      parts_.loop, *progress_front_, parts_.budget.inbound / 3, parts_.counters,
+      divide_input_memory(parts_.config.memory_mb).progress);
   progress_server_->on_pressure = parts_.server.on_pressure;
   listen_when_free(*progress_server_, *settings.listen, [this] {
     log::info(Subsystem::progress, "listens",
--- a/node/net/http.cpp
+++ b/node/net/http.cpp
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <cctype>
 #include <charconv>
+#include <utility>
+
+#include "net/memory.h"
 
 namespace keelflow::net {
 namespace {
@@ -46,6 +49,19 @@
   return size;
 }
 
+struct Field {
+  std::string_view name, value;
+};
+
+// Takes the first field off well-formed lines.
+Field next_field(std::string_view& lines) {
+  auto end = lines.find("\r\n");
+  std::string_view line = lines.substr(0, end);
+  lines.remove_prefix(end + 2);
+  auto colon = line.find(':');
+  return {.name = line.substr(0, colon), .value = trim(line.substr(colon + 1))};
+}
+
 bool has_word(std::string_view list, std::string_view word) {
   while (!list.empty()) {
     auto comma = list.find(',');
@@ -66,18 +82,24 @@
   });
 }
 
+void Head::add(std::string_view name, std::string_view value) {
+  fields.append(name).append(":").append(value).append("\r\n");
+}
+
 std::string_view Head::find(std::string_view name) const {
-  for (const auto& [key, value] : headers)
-    if (same_word(key, name))
-      return value;
+  for (std::string_view lines = fields; !lines.empty();) {
+    Field field = next_field(lines);
+    if (same_word(field.name, name))
+      return field.value;
+  }
   return {};
 }
 
 std::size_t Head::count(std::string_view name) const {
-  auto same = [&](const auto& h) {
-    return same_word(h.first, name);
-  };
-  return static_cast<std::size_t>(std::count_if(headers.begin(), headers.end(), same));
+  std::size_t count = 0;
+  for (std::string_view lines = fields; !lines.empty();)
+    count += same_word(next_field(lines).name, name);
+  return count;
 }
 
 // Takes bytes up to a line's end. Nothing while the line is incomplete.
@@ -129,8 +151,8 @@
         head_ = {};
         if (!parse_head() || !frame_body())
           break;
-        buffer_.clear();
-        sink.on_head(head_);
+        release(buffer_);  // an unfinished body must not hold the head's memory as well
+        sink.on_head(std::exchange(head_, {}));
         if (state_ == State::sized && left_ == 0)
           return complete(sink), consumed();
         break;
@@ -232,12 +254,12 @@
   }
   if (version != "HTTP/1.1" && version != "HTTP/1.0")
     return bad();
+  head_.fields = text;
   while (!text.empty()) {
     std::string_view field = next();
     auto colon = field.find(':');
     if (colon == std::string_view::npos || !token(field.substr(0, colon)) || !clean(field))
       return bad();
-    head_.headers.emplace_back(field.substr(0, colon), trim(field.substr(colon + 1)));
   }
   old_ = version == "HTTP/1.0";
   std::string_view connection = head_.find("Connection");
--- a/node/net/http.h
+++ b/node/net/http.h
@@ -1,4 +1,5 @@
-// HTTP/1.1 as the platform uses it: an incremental parser for both directions, with limits.
+/// \file
+/// HTTP/1.1 as the platform uses it: an incremental parser for both directions, with limits.
 #pragma once
 
 #include <cstdint>
@@ -6,18 +7,21 @@
 #include <string>
 #include <string_view>
 #include <utility>
-#include <vector>
 
 namespace keelflow::net {
 
 bool same_word(std::string_view a, std::string_view b);  // without regard to case
 
+/// The head of a message. Holds the header fields as they were received, so that it takes about as
+/// much memory as the bytes of the head, however many fields they make.
 struct Head {
   std::string method, target;  // of a request
   int status = 0;              // of a response
-  std::vector<std::pair<std::string, std::string>> headers;
+  std::string fields;          // well-formed lines "NAME:VALUE\r\n"
   bool keep_alive = true;
 
+  void add(std::string_view name, std::string_view value);
+  std::size_t held() const { return method.capacity() + target.capacity() + fields.capacity(); }
   std::string_view find(std::string_view name) const;  // empty where it is absent
   bool has(std::string_view name) const { return count(name) > 0; }
   std::size_t count(std::string_view name) const;
@@ -49,6 +53,8 @@
   bool finish(Sink& sink);
   Fault fault() const { return fault_; }
   bool idle() const { return state_ == State::head && buffer_.empty(); }
+  // Bytes of memory that an unfinished line or head takes.
+  std::size_t held() const { return buffer_.capacity(); }
   void allow_stream() { limits_.body = SIZE_MAX; }  // for a body that is consumed as it comes
 
  private:
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -20,6 +20,7 @@
 #include "lifecycle/descriptor_budget.h"
 #include "lifecycle/extra_listeners.h"
 #include "lifecycle/graceful_shutdown.h"
+#include "lifecycle/input_limits.h"
 #include "lifecycle/process_upgrade.h"
 #include "lifecycle/signal_reader.h"
 #include "log/log.h"
@@ -69,7 +70,8 @@
                   .seed = config_.seed},
                  engine_, counters_),
         front_(loop_, engine_, outbound_, config_, counters_),
-        server_(loop_, front_, budget_.inbound, counters_),
+        server_(loop_, front_, budget_.inbound, counters_,
+                divide_input_memory(config_.memory_mb).platform),
         operators_({.not_ready = [this] { return not_ready(); },
                     .gauges = [this] { return status_report_.gauges(); },
                     .by_hand =
--- a/tests/node/crossings_test.cpp
+++ b/tests/node/crossings_test.cpp
@@ -1000,9 +1000,10 @@
     HttpRequest request;
     request.head.method = "POST";
     request.head.target = "/price";
-    request.head.headers = {{"X-Trace-Id", "A"}, {"X-Expires-In-Ms", "500"}};
+    request.head.add("X-Trace-Id", "A");
+    request.head.add("X-Expires-In-Ms", "500");
     if (*customer)
-      request.head.headers.emplace_back("X-Customer", customer);
+      request.head.add("X-Customer", customer);
     return std::get<Job>(decode_job(std::move(request), names)).tenant;
   };
   EXPECT_EQ(tenant("river street"), 0);
--- a/tests/node/fair_share_test.cpp
+++ b/tests/node/fair_share_test.cpp
@@ -1,8 +1,12 @@
-// One client that sends at full speed neither holds the loop nor makes the process grow.
+// Clients that send at full speed, ahead, or never to the end: they neither hold the loop nor make
+// the process grow, and their going is noticed.
 #include <gtest/gtest.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
+#include <memory>
+
 #include "inbound/server.h"
 
 namespace keelflow {
@@ -160,6 +164,63 @@
   EXPECT_EQ(front.bad, kRequests);
 }
 
+// Guards against a process over its memory limit: the header fields of hundreds of unfinished
+// requests took many times the bytes that were received.
+TEST(Head, ManyShortFieldsTakeAboutAsMuchMemoryAsTheirBytes) {
+  struct Sink final : net::HttpParser::Sink {
+    void on_head(const net::Head& h) override { head = h; }
+    void on_body(std::string_view) override {}
+    void on_complete() override {}
+    net::Head head;
+  } sink;
+  const std::string text =
+      "POST /x HTTP/1.1\r\n" + repeat("a:\r\n", 15'000) + "Content-Length: 9\r\n\r\nhalf";
+  net::HttpParser parser(net::HttpParser::Kind::request, {});
+  EXPECT_EQ(parser.feed(text, sink), text.size());
+  EXPECT_EQ(sink.head.find("Content-Length"), "9");
+  EXPECT_EQ(sink.head.count("A"), 3750u);
+  EXPECT_LE(sink.head.held() + parser.held(), text.size() + 1024);
+}
+
+// Guards against the same by bodies: input of requests that are not complete has a limit in sum.
+TEST(InputLimit, TheSlowestUnfinishedRequestsAreRejectedAndOthersServed) {
+  constexpr std::size_t kInputLimit = 256 * 1024;
+  constexpr std::size_t kHalfBody = 32 * 1024;
+  constexpr int kClients = 30;
+  const std::string half =
+      "POST /bad HTTP/1.1\r\nContent-Length: 65536\r\n\r\n" + std::string(kHalfBody, 'x');
+  net::EventLoop loop;
+  Counters counters;
+  EchoFront front(loop, true);
+  Server server(loop, front, 100, counters, kInputLimit);
+  server.listen(*net::parse_address("127.0.0.1:0"));
+  std::vector<std::unique_ptr<Client>> clients;
+  std::size_t most_held = 0;
+  TimePoint limit = loop.now() + kLimit;
+  std::function<void()> check = [&] {
+    most_held = std::max(most_held, server.input_held());
+    if (loop.now() > limit || front.bad_before_usual)
+      return loop.stop();
+    if (clients.size() < kClients) {
+      clients.push_back(std::make_unique<Client>(server.address()));
+      EXPECT_EQ(clients.back()->send(half), half.size());
+    } else if (counters.input_shed > 0 && clients.size() == kClients) {
+      clients.push_back(std::make_unique<Client>(server.address()));
+      clients.back()->send(request("/usual"));
+    }
+    loop.at(loop.now() + 1ms, check);
+  };
+  check();
+  loop.run();
+  EXPECT_TRUE(front.bad_before_usual) << "the usual client was not served";
+  EXPECT_LE(most_held, kInputLimit);
+  std::array<char, 64> answer{};
+  ssize_t got = ::recv(clients.front()->fd, answer.data(), answer.size(), MSG_DONTWAIT);
+  ASSERT_GT(got, 0);
+  std::string_view text(answer.data(), static_cast<std::size_t>(got));
+  EXPECT_TRUE(text.starts_with("HTTP/1.1 503")) << text;
+}
+
 // Is readable and never done: it asks for its next turn whenever it is called.
 class Flooded final : public net::EventLoop::Handler {
  public:
--- a/tests/node/parts_test.cpp
+++ b/tests/node/parts_test.cpp
@@ -161,12 +161,12 @@
   HttpRequest request;
   request.head.method = "POST";
   request.head.target = "/hold/shelf?x=1";
-  request.head.headers = {{"x-trace-id", "A"},
-                          {"X-Expires-In-Ms", "480"},
-                          {"X-Size-Hint", "160000"},
-                          {"X-Object", "ff"},
-                          {"X-Props", "slots=2,memory=1.5,odd=9,bad"},
-                          {"X-Customer", "oak lane"}};
+  request.head.add("x-trace-id", "A");
+  request.head.add("X-Expires-In-Ms", "480");
+  request.head.add("X-Size-Hint", "160000");
+  request.head.add("X-Object", "ff");
+  request.head.add("X-Props", "slots=2,memory=1.5,odd=9,bad");
+  request.head.add("X-Customer", "oak lane");
   Names names{{"price", "hold"}, {"river", "oak lane"}, {}, {}};
   auto job = std::get<Job>(decode_job(request, names));
   EXPECT_EQ(job.class_index, 1);
