Inbound: notice the end of a client behind what it has sent ahead

Cause: reading stopped at 16 KiB of further requests, so that the client's end stayed in its own kernel behind bytes that nobody read.

Change: 256 KiB are read ahead, 16 KiB while the input budget is exceeded. Where reading has stopped, and until the kernel holds nothing more, further requests are rejected with 503.

--- a/node/inbound/platform_front.cpp
+++ b/node/inbound/platform_front.cpp
@@ -194,6 +194,11 @@
 }
 
 bool PlatformFront::turned_away(InboundConnection& connection) {
+  if (connection.may_have_left()) {
+    ++counters_.requests_rejected;
+    connection.respond(503, "too much was sent ahead\n", {{"Retry-After", "1"}});
+    return true;
+  }
   if (!connection.crowded())
     return false;
   ++counters_.requests_rejected;
--- a/node/inbound/server.cpp
+++ b/node/inbound/server.cpp
@@ -51,8 +51,9 @@
 constexpr std::size_t kReserve =
     6;  // a sixth more connections than wanted are accepted, for call-backs
 constexpr int kMostMessages = 4;  // of one connection, parsed in one go
-constexpr std::size_t kMaxReadAhead =
-    16 * 1024;  // of a next request that comes early; times all connections
+// Read ahead of the present request, so that the client's end is seen behind what it has sent.
+constexpr std::size_t kMaxReadAhead = 256 * 1024;
+constexpr std::size_t kMaxReadAheadUnderPressure = 16 * 1024;  // while the input budget is exceeded
 constexpr std::size_t kMaxIdleBuffer = 4 * 1024;  // kept for the next bytes; more is freed
 
 std::string_view reason(int status) {
@@ -168,12 +169,21 @@
   account();
 }
 
-// One request at a time: little of a further one is read before the present one is answered.
-// Reading goes on for as long as it does because that is how a client's going is noticed; a paused
-// connection still hears of its end.
+// Reading goes on while a request is served because that is how a client's end is noticed. It stops
+// where a client has sent very much ahead: from then on until all of that is read, its end may
+// stand behind unread bytes.
 void InboundConnection::limit_reading() {
-  if (connection_.open())
-    connection_.pause_reading(waiting_.size() > kMaxReadAhead);
+  if (!connection_.open())
+    return;
+  std::size_t limit = server_.input_.is_exceeded() ? kMaxReadAheadUnderPressure : kMaxReadAhead;
+  bool is_paused = waiting_.size() > limit;
+  is_behind_ = is_behind_ || is_paused;
+  connection_.pause_reading(is_paused);
+}
+
+bool InboundConnection::may_have_left() {
+  is_behind_ = is_behind_ && connection_.readable();
+  return is_behind_;
 }
 
 std::size_t InboundConnection::held() const {
--- a/node/inbound/server.h
+++ b/node/inbound/server.h
@@ -76,6 +76,9 @@
     return connection_.peer_ended();
   }  // it sent no more than what has been read so far
   TimePoint since() const { return since_; }
+  /// Whether the client may have left without this process knowing: it has sent more ahead than is
+  /// read, so its end may stand behind unread bytes.
+  bool may_have_left();
   /// Whether it holds input of a request that is not complete.
   bool has_unfinished_input() const { return !busy_ && keep_alive_ && !parser_.idle(); }
   /// When the request that is being read began.
@@ -117,6 +120,7 @@
   std::unique_ptr<Exchange> exchange_;
   bool busy_ = false, parsing_ = false, waits_turn_ = false, keep_alive_ = true, over_ = false,
        asked_ = false;
+  bool is_behind_ = false;     // reading was paused, and what the kernel holds is not read since
   std::size_t accounted_ = 0;  // of the server's input budget
   TimePoint since_, begun_;  // of the last answer, or the start; of the request that is being read
   TimerId timer_ = 0;
--- a/node/net/connection.h
+++ b/node/net/connection.h
@@ -49,6 +49,9 @@
   bool open() const { return fd_ >= 0; }
   bool quiet()
       const;  // open, and the peer has neither sent nor ended anything that is still unread
+  // The kernel may hold bytes, or the end, that were not read yet: reading has not come to its end
+  // since the last event.
+  bool readable() const { return readable_; }
   bool unread() const;  // open, and bytes of the peer wait to be read
   bool connected() const { return connected_; }
   // Not later than the arrival of any byte that is being read.
--- a/tests/node/fair_share_test.cpp
+++ b/tests/node/fair_share_test.cpp
@@ -221,6 +221,84 @@
   EXPECT_TRUE(text.starts_with("HTTP/1.1 503")) << text;
 }
 
+// Holds the first request until the test answers it, and counts the ones that follow.
+class HoldingFront final : public Front {
+ public:
+  std::unique_ptr<Exchange> on_request(InboundConnection& connection, HttpRequest) override {
+    if (first) {
+      connection.may_have_left() ? ++rejected : ++begun;
+      connection.respond(503, "refused\n");
+      return nullptr;
+    }
+    first = &connection;
+    return std::make_unique<Held>(*this);
+  }
+  InboundConnection* first = nullptr;
+  bool is_client_gone = false;
+  int begun = 0, rejected = 0;
+
+ private:
+  struct Held final : Exchange {
+    explicit Held(HoldingFront& owner) : front(owner) {}
+    void on_client_gone() override { front.is_client_gone = true; }
+    HoldingFront& front;
+  };
+};
+
+class ClientThatSendsAhead : public ::testing::Test {
+ protected:
+  ClientThatSendsAhead() : server_(loop_, front_, 100, counters_) {
+    server_.listen(*net::parse_address("127.0.0.1:0"));
+  }
+  // Sends `bytes` of requests, less what the kernel does not take, and leaves.
+  void send_and_leave(std::size_t bytes) {
+    const std::string requests = repeat(request("/x"), bytes);
+    Client client(server_.address(), kSendBuffer);
+    std::size_t sent = 0;
+    run_until([&] {
+      sent += client.send(std::string_view(requests).substr(sent));
+      return sent == requests.size() || (front_.first && server_.input_held() == held_before_);
+    });
+  }
+  void run_until(const std::function<bool()>& step) {
+    TimePoint limit = loop_.now() + kLimit;
+    std::function<void()> check = [&] {
+      if (step() || loop_.now() > limit)
+        return loop_.stop();
+      held_before_ = server_.input_held();
+      loop_.at(loop_.now() + 5ms, check);
+    };
+    check();
+    loop_.run();
+  }
+
+  static constexpr int kSendBuffer = 1 << 20;
+  net::EventLoop loop_;
+  Counters counters_;
+  HoldingFront front_;
+  Server server_;
+  std::size_t held_before_ = 0;
+};
+
+// Guards against work for a client that has left: its end stood behind requests that nobody read.
+TEST_F(ClientThatSendsAhead, IsKnownToHaveLeftWhileItsFirstRequestIsServed) {
+  send_and_leave(200 * 1024);
+  run_until([&] { return front_.is_client_gone; });
+  EXPECT_TRUE(front_.is_client_gone);
+}
+
+// Guards against the same beyond what is read ahead: further requests are rejected until all that
+// the client has sent is read.
+TEST_F(ClientThatSendsAhead, BeginsNoFurtherRequestWhileItsEndMayBeUnread) {
+  send_and_leave(std::size_t{8} << 20);
+  ASSERT_FALSE(front_.is_client_gone) << "the kernel holds too little for this test";
+  front_.first->respond(200, "");
+  run_until([&] { return server_.connections() == 0; });
+  EXPECT_EQ(server_.connections(), 0u);
+  EXPECT_GT(front_.rejected, 0);
+  EXPECT_EQ(front_.begun, 0);
+}
+
 // Is readable and never done: it asks for its next turn whenever it is called.
 class Flooded final : public net::EventLoop::Handler {
  public:
