--- a/node/inbound/input_budget.h
+++ b/node/inbound/input_budget.h
@@ -18,6 +18,9 @@
     held_ = held_ - held_before + held_now;
   }
   bool is_exceeded() const { return held_ > limit_; }
+  /// Whether connections may read far ahead. Half of the budget is kept for requests that arrive,
+  /// so that clients that send much ahead do not have others rejected.
+  bool allows_read_ahead() const { return held_ <= limit_ / 2; }
   std::size_t held() const { return held_; }
 
  private:
--- a/node/inbound/server.cpp
+++ b/node/inbound/server.cpp
@@ -53,7 +53,8 @@
 constexpr int kMostMessages = 4;  // of one connection, parsed in one go
 // Read ahead of the present request, so that the client's end is seen behind what it has sent.
 constexpr std::size_t kMaxReadAhead = 256 * 1024;
-constexpr std::size_t kMaxReadAheadUnderPressure = 16 * 1024;  // while the input budget is exceeded
+constexpr std::size_t kMaxReadAheadUnderPressure =
+    16 * 1024;                                    // while the input budget is half used
 constexpr std::size_t kMaxIdleBuffer = 4 * 1024;  // kept for the next bytes; more is freed
 
 std::string_view reason(int status) {
@@ -175,7 +176,8 @@
 void InboundConnection::limit_reading() {
   if (!connection_.open())
     return;
-  std::size_t limit = server_.input_.is_exceeded() ? kMaxReadAheadUnderPressure : kMaxReadAhead;
+  std::size_t limit =
+      server_.input_.allows_read_ahead() ? kMaxReadAhead : kMaxReadAheadUnderPressure;
   bool is_paused = waiting_.size() > limit;
   is_behind_ = is_behind_ || is_paused;
   connection_.pause_reading(is_paused);
--- a/tests/node/fair_share_test.cpp
+++ b/tests/node/fair_share_test.cpp
@@ -299,6 +299,56 @@
   EXPECT_EQ(front_.begun, 0);
 }
 
+// Guards against clients that send much ahead at the cost of those that send one request slowly.
+TEST(InputLimit, WhatIsReadAheadLeavesRoomForRequestsThatArrive) {
+  constexpr std::size_t kInputLimit = std::size_t{2} << 20;
+  constexpr std::size_t kAhead = 200 * 1024;
+  constexpr int kAheadClients = 30;
+  constexpr int kSlowClients = 4;
+  struct HoldsAll final : Front {
+    std::unique_ptr<Exchange> on_request(InboundConnection&, HttpRequest) override {
+      ++taken;
+      return std::make_unique<Exchange>();
+    }
+    int taken = 0;
+  } front;
+  net::EventLoop loop;
+  Counters counters;
+  Server server(loop, front, 100, counters, kInputLimit);
+  server.listen(*net::parse_address("127.0.0.1:0"));
+  std::vector<std::unique_ptr<Client>> clients;
+  const std::string ahead = repeat(request("/x"), kAhead);
+  const std::string half =
+      "POST /x HTTP/1.1\r\nContent-Length: 65536\r\n\r\n" + std::string(32 * 1024, 'x');
+  const std::string rest(32 * 1024, 'x');
+  for (int i = 0; i < kAheadClients; ++i) {
+    clients.push_back(std::make_unique<Client>(server.address(), 1 << 20));
+    clients.back()->send(ahead);
+  }
+  TimePoint limit = loop.now() + kLimit;
+  std::size_t held_before = 1;
+  std::function<void()> check = [&] {
+    bool is_still = std::exchange(held_before, server.input_held()) == held_before;
+    auto slow = static_cast<std::size_t>(kAheadClients);
+    if (loop.now() > limit || front.taken == kAheadClients + kSlowClients)
+      return loop.stop();
+    if (front.taken == kAheadClients && is_still && clients.size() == slow) {
+      for (int i = 0; i < kSlowClients; ++i) {
+        clients.push_back(std::make_unique<Client>(server.address()));
+        clients.back()->send(half);
+      }
+    } else if (clients.size() > slow && is_still) {
+      for (std::size_t i = slow; i < clients.size(); ++i)
+        clients[i]->send(rest);
+    }
+    loop.at(loop.now() + 5ms, check);
+  };
+  check();
+  loop.run();
+  EXPECT_EQ(front.taken, kAheadClients + kSlowClients);
+  EXPECT_EQ(counters.input_shed, 0u);
+}
+
 // Is readable and never done: it asks for its next turn whenever it is called.
 class Flooded final : public net::EventLoop::Handler {
  public:
