Crossing scenario: ask GET /up before the signal, so that the DELETE has begun

Change: the scenario asks GET /up on the same connection and waits for its answer, which comes in a later turn of the loop. No check and no bound changes.

--- a/tests/node/crossings_test.cpp
+++ b/tests/node/crossings_test.cpp
@@ -722,6 +722,9 @@
     close b
     full box
     expect c HTTP/1.1 5
+    # answered in a later turn than the one that wrote the 504 and began the connection for the DELETE
+    send c GET /up HTTP/1.1\r\nHost: app.svc\r\n\r\n
+    expect c HTTP/1.1 200
     signal STOP
     send n POST /_jobs/news HTTP/1.1\r\nContent-Length: )" +
            std::to_string(body.size()) + "\\r\\n\\r\\n" + body + R"(
